--- /dev/null
+++ b/include/tarragondale/base.h
@@ -0,0 +1,14 @@
+// Public header of the base library: result codes, ids, time, results with a
+// reason, logging, digests and the bounded ring that joins threads.
+#ifndef TARRAGONDALE_BASE_H_
+#define TARRAGONDALE_BASE_H_
+
+#include "tarragondale/base/digest.h"
+#include "tarragondale/base/ids.h"
+#include "tarragondale/base/log.h"
+#include "tarragondale/base/result.h"
+#include "tarragondale/base/result_code.h"
+#include "tarragondale/base/ring.h"
+#include "tarragondale/base/time.h"
+
+#endif  // TARRAGONDALE_BASE_H_
--- /dev/null
+++ b/include/tarragondale/wire.h
@@ -0,0 +1,257 @@
+// Public header of the wire library: typed messages between VMs and their
+// msgpack codec.
+//
+// Every message is the array [version, type, sender, body]; a body is an array
+// of the struct's members in order of declaration. Decoding never throws and
+// never trusts a length; a message that does not decode gives a failure.
+#ifndef TARRAGONDALE_WIRE_H_
+#define TARRAGONDALE_WIRE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "tarragondale/base.h"
+
+namespace tarragondale::wire {
+
+/// @brief Version of all messages; another version is refused.
+inline constexpr uint32_t kMessageVersion = 1;
+
+/// @brief Largest encoded message in bytes.
+inline constexpr size_t kMaxMessageBytes = 16U << 20;
+
+enum class request_kind : uint8_t { kRead, kWrite };
+std::string_view RequestKindName(request_kind kind);
+std::optional<request_kind> RequestKindFromName(std::string_view name);
+
+/// @brief Place of a request in a transaction.
+enum class transaction_step : uint8_t {
+  kWhole,     ///< The statements are one whole transaction.
+  kBegin,     ///< Begins an interactive transaction; no statements.
+  kContinue,  ///< Runs statements in an interactive transaction.
+  kCommit,
+  kRollback,
+};
+
+/// @brief A value in text format; no value is NULL.
+using sql_value = std::optional<std::string>;
+
+struct statement {
+  std::string sql;
+  std::vector<sql_value> params;
+
+  bool operator==(const statement&) const = default;
+};
+
+struct column {
+  std::string name;
+  uint32_t type = 0;  ///< PostgreSQL type OID.
+
+  bool operator==(const column&) const = default;
+};
+
+struct statement_result {
+  std::vector<column> columns;
+  std::vector<std::vector<sql_value>> rows;
+  int64_t affected = 0;  ///< Number of rows returned or changed.
+
+  bool operator==(const statement_result&) const = default;
+};
+
+/// @brief From an entry to the gateway of `member`.
+struct execute_request {
+  request_id id;
+  std::string organisation;  ///< Empty on routes open to all.
+  std::string group;
+  std::string member;
+  request_kind kind = request_kind::kRead;
+  transaction_step step = transaction_step::kWhole;
+  /// Id of the request that began the transaction; none for `kWhole`.
+  request_id transaction;
+  std::vector<statement> statements;
+  std::string idempotency_key;  ///< Empty: the request is not repeatable.
+  std::string request_digest;   ///< SHA-256 of kind and statements, 32 bytes.
+  /// Writes: the term of the primary that the entry chose; another term is
+  /// refused as `no_primary`. 0: any.
+  int64_t expected_term = 0;
+  /// Reads: the member must satisfy this position. {0, 0}: any.
+  log_position minimum;
+  int64_t max_age_ms = -1;  ///< Reads: highest age of the data; -1: any.
+  int64_t budget_ms = 0;    ///< Time left until the caller's deadline.
+  /// True: answer writes and primary reads after a majority holds them.
+  bool majority = true;
+
+  bool operator==(const execute_request&) const = default;
+};
+
+/// @brief From a gateway to the entry that asked.
+struct execute_answer {
+  request_id id;
+  result_code code = result_code::kOk;
+  std::string reason;  ///< For people; empty for `kOk`.
+  std::vector<statement_result> results;
+  log_position position;  ///< Position written or read.
+  int64_t age_ms = 0;     ///< Reads: highest age of the data.
+  bool from_primary = false;
+  bool replayed = false;  ///< The recorded answer of an earlier attempt.
+  int64_t retry_after_ms = 0;
+
+  bool operator==(const execute_answer&) const = default;
+};
+
+/// @brief From an entry to a gateway: the caller is gone. Ends a queued
+/// request or rolls back the transaction that `id` began. Without effect on a
+/// commit that was sent already.
+struct cancel_request {
+  request_id id;
+  std::string group;
+  std::string member;
+
+  bool operator==(const cancel_request&) const = default;
+};
+
+enum class member_role : uint8_t { kUnknown, kPrimary, kReplica };
+std::string_view MemberRoleName(member_role role);
+std::optional<member_role> MemberRoleFromName(std::string_view name);
+
+/// @brief What the gateway of a member knows of it; the members of
+/// `tarragondale_status()` and the load at the gateway.
+struct member_report {
+  std::string member;
+  bool reachable = false;  ///< A status query was answered lately.
+  member_role role = member_role::kUnknown;
+  int64_t term = 0;
+  int64_t promised_term = 0;
+  int64_t last_term = 0;
+  int64_t position = 0;
+  int64_t term_start = 0;  ///< Position at which `term` began.
+  /// Age of the data when the report was sent; -1 if it is unknown.
+  int64_t age_ms = -1;
+  uint32_t queue_length = 0;     ///< Requests waiting at the gateway.
+  uint32_t service_time_us = 0;  ///< Moving average for one request.
+
+  bool operator==(const member_report&) const = default;
+};
+
+/// @brief From a gateway to the VMs that use the group.
+struct group_report {
+  std::string group;
+  std::vector<member_report> members;
+
+  bool operator==(const group_report&) const = default;
+};
+
+/// @brief From a VM to the gateways of groups that it uses: send reports of
+/// these groups for a while.
+struct group_interest {
+  std::vector<std::string> groups;
+
+  bool operator==(const group_interest&) const = default;
+};
+
+enum class vm_state : uint8_t { kJoining, kAlive, kSuspect, kLeaving, kDead };
+std::string_view VmStateName(vm_state state);
+std::optional<vm_state> VmStateFromName(std::string_view name);
+
+/// @brief What gossip says of one VM. A higher incarnation goes before a
+/// lower one; within one incarnation the later state in `vm_state` wins.
+struct vm_record {
+  std::string name;
+  std::string peer_address;  ///< IP:port of the pull socket.
+  std::string http_address;  ///< IP:port for callers.
+  std::string availability_zone;
+  std::string region;
+  uint64_t incarnation = 0;
+  vm_state state = vm_state::kJoining;
+  int64_t configuration_version = 0;
+
+  bool operator==(const vm_record&) const = default;
+};
+
+/// @brief Membership probe.
+struct probe {
+  uint64_t sequence = 0;
+  std::string target;  ///< VM that shall answer; relayed if not the receiver.
+  std::string origin;  ///< VM that waits for the answer.
+  std::vector<vm_record> gossip;
+
+  bool operator==(const probe&) const = default;
+};
+
+/// @brief Answer to a probe.
+struct probe_answer {
+  uint64_t sequence = 0;
+  std::string target;  ///< VM that answered.
+  std::string origin;  ///< VM that waits for the answer; relayed to it.
+  std::vector<vm_record> gossip;
+
+  bool operator==(const probe_answer&) const = default;
+};
+
+/// @brief From a coordinator to another vantage point: open a fresh connection
+/// to the database member and read its status.
+struct reach_request {
+  uint64_t sequence = 0;
+  std::string group;
+  std::string member;
+
+  bool operator==(const reach_request&) const = default;
+};
+
+/// @brief Answer to a `reach_request`.
+struct reach_answer {
+  uint64_t sequence = 0;
+  std::string group;
+  member_report report;  ///< `reachable` is false if the connection failed.
+
+  bool operator==(const reach_answer&) const = default;
+};
+
+/// @brief All message bodies; the index in the variant is the type's number.
+/// New types go to the end.
+using message_body = std::variant<execute_request,
+                                  execute_answer,
+                                  cancel_request,
+                                  group_report,
+                                  group_interest,
+                                  probe,
+                                  probe_answer,
+                                  reach_request,
+                                  reach_answer>;
+
+struct message {
+  std::string sender;  ///< Name of the VM that sent it.
+  message_body body;
+
+  bool operator==(const message&) const = default;
+};
+
+/// @brief Name of a message's type, for logs and metrics.
+std::string_view MessageTypeName(const message_body& body);
+
+/// @brief Encodes a message.
+std::string Encode(const message& value);
+
+/// @brief Decodes a message. Failures: `message_version_unknown`,
+/// `message_malformed`.
+result<message> Decode(std::string_view bytes);
+
+/// @brief SHA-256 of kind and statements; identifies a request under its
+/// idempotency key.
+std::string RequestDigest(request_kind kind,
+                          const std::vector<statement>& statements);
+
+/// @brief Encodes statement results, for the record of an idempotent write.
+std::string EncodeResults(const std::vector<statement_result>& results);
+
+/// @brief Decodes `EncodeResults`. Failure: `message_malformed`.
+result<std::vector<statement_result>> DecodeResults(std::string_view bytes);
+
+}  // namespace tarragondale::wire
+
+#endif  // TARRAGONDALE_WIRE_H_
--- /dev/null
+++ b/src/base/base_test.cc
@@ -0,0 +1,162 @@
+// Tests of the base library.
+#include "tarragondale/base.h"
+
+#include <gtest/gtest.h>
+
+#include <fstream>
+#include <set>
+#include <sstream>
+#include <thread>
+
+namespace tarragondale {
+namespace {
+
+std::string ReadFile(const std::string& path) {
+  std::ifstream file(path);
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+std::string RowForDocs(const result_code_info& row) {
+  return fmt::format("| {} | `{}` | `{}` | {} | {} | {} | {} |",
+                     static_cast<int>(row.code), row.name,
+                     OutcomeName(row.result), row.http_status,
+                     row.retry_later ? "yes" : "no", row.meaning, row.action);
+}
+
+// Guards against a lookup that misses a row: the lookup is a binary search.
+TEST(ResultCodeTest, TableIsOrderedAndNamesAreUnique) {
+  std::set<std::string_view> names;
+  int previous = -1;
+  for (const result_code_info& row : ResultCodes()) {
+    EXPECT_GT(static_cast<int>(row.code), previous);
+    previous = static_cast<int>(row.code);
+    EXPECT_TRUE(names.insert(row.name).second) << row.name;
+    EXPECT_EQ(InfoOf(row.code).name, row.name);
+    EXPECT_EQ(ResultCodeFromNumber(previous), row.code);
+  }
+  EXPECT_FALSE(ResultCodeFromNumber(12345));
+}
+
+// Guards against docs that differ from the code.
+TEST(ResultCodeTest, DocsHoldExactlyTheTable) {
+  const std::string docs =
+      ReadFile(TARRAGONDALE_SOURCE_DIR "/docs/result-codes.md");
+  size_t rows = 0;
+  for (const result_code_info& row : ResultCodes()) {
+    EXPECT_NE(docs.find(RowForDocs(row) + "\n"), std::string::npos)
+        << "missing row: " << RowForDocs(row);
+    ++rows;
+  }
+  size_t lines = 0;
+  std::istringstream in(docs);
+  for (std::string line; std::getline(in, line);) {
+    lines += line.starts_with("| ") && std::isdigit(line[2]) ? 1 : 0;
+  }
+  EXPECT_EQ(lines, rows);
+}
+
+// Guards against a refusal whose HTTP status invites a blind retry: an unknown
+// outcome never carries Retry-After.
+TEST(ResultCodeTest, UnknownOutcomesDoNotAskForARetry) {
+  for (const result_code_info& row : ResultCodes()) {
+    if (row.result == outcome::kUnknown) {
+      EXPECT_FALSE(row.retry_later) << row.name;
+    }
+  }
+}
+
+TEST(IdsTest, RequestIdSurvivesTheRoundTrip) {
+  const request_id id{0xFEDCBA9876543210ULL, 42};
+  EXPECT_EQ(ToText(id), "fedcba9876543210000000000000002a");
+  EXPECT_EQ(RequestIdFromText(ToText(id)), id);
+  EXPECT_FALSE(RequestIdFromText("fedc"));
+  EXPECT_FALSE(RequestIdFromText("+edcba9876543210000000000000002a"));
+  EXPECT_FALSE(RequestIdFromText("gedcba9876543210000000000000002a"));
+}
+
+// Vectors of RFC 4648, section 10, without padding for base64url.
+TEST(DigestTest, Base64MatchesTheStandard) {
+  EXPECT_EQ(Base64Encode("f"), "Zg==");
+  EXPECT_EQ(Base64Encode("fooba"), "Zm9vYmE=");
+  EXPECT_EQ(Base64Encode("foobar"), "Zm9vYmFy");
+  EXPECT_EQ(Base64UrlEncode("f"), "Zg");
+  EXPECT_EQ(Base64Decode("Zm9vYmE="), "fooba");
+  EXPECT_EQ(Base64Decode(""), "");
+  EXPECT_EQ(Base64UrlDecode("Zm9vYg"), "foob");
+}
+
+// Guards against two texts that decode to one value, which would let a caller
+// alter a signed token without a visible change.
+TEST(DigestTest, MalformedTextIsRefused) {
+  EXPECT_FALSE(Base64Decode("Zg"));
+  EXPECT_FALSE(Base64Decode("Z==="));
+  EXPECT_FALSE(Base64Decode("Zh=="));
+  EXPECT_FALSE(Base64UrlDecode("Z"));
+  EXPECT_FALSE(Base64UrlDecode("Zh"));
+  EXPECT_FALSE(Base64UrlDecode("Z+"));
+  EXPECT_FALSE(HexDecode("abc"));
+  EXPECT_FALSE(HexDecode("zz"));
+  EXPECT_EQ(HexDecode("00ff"), std::string("\0\xFF", 2));
+}
+
+// Vector of RFC 4231, test case 2.
+TEST(DigestTest, HmacMatchesTheStandard) {
+  EXPECT_EQ(HexEncode(HmacSha256("Jefe", "what do ya want for nothing?")),
+            "5bdcc146bf60754e6a042426089575c75a003f089d2739839dec58b964ec3843");
+  EXPECT_EQ(HexEncode(Sha256("abc")),
+            "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad");
+  EXPECT_TRUE(EqualConstantTime("abc", "abc"));
+  EXPECT_FALSE(EqualConstantTime("abc", "abd"));
+  EXPECT_FALSE(EqualConstantTime("abc", "ab"));
+}
+
+// Guards against a producer that waits when its consumer is slow.
+TEST(RingTest, FullRingRefusesAndKeepsOrder) {
+  ring<int> items(2);
+  EXPECT_TRUE(items.TryPush(1));
+  EXPECT_TRUE(items.TryPush(2));
+  EXPECT_FALSE(items.TryPush(3));
+  EXPECT_EQ(items.TryPop(), 1);
+  EXPECT_TRUE(items.TryPush(4));
+  EXPECT_EQ(items.TryPop(), 2);
+  EXPECT_EQ(items.TryPop(), 4);
+  EXPECT_FALSE(items.TryPop());
+}
+
+// Guards against lost or doubled items between threads.
+TEST(RingTest, EveryItemArrivesOnceFromTwoProducers) {
+  constexpr int kItems = 20000;
+  ring<int> items(64);
+  const auto produce = [&](int first) {
+    for (int i = first; i < 2 * kItems; i += 2) {
+      while (!items.TryPush(i)) {
+        std::this_thread::yield();
+      }
+    }
+  };
+  std::thread even(produce, 0);
+  std::thread odd(produce, 1);
+  std::vector<int> seen(2 * kItems, 0);
+  for (int i = 0; i < 2 * kItems; ++i) {
+    const auto item =
+        items.PopUntil(std::chrono::steady_clock::now() + seconds(30));
+    ASSERT_TRUE(item);
+    ++seen[static_cast<size_t>(*item)];
+  }
+  even.join();
+  odd.join();
+  for (const int count : seen) {
+    EXPECT_EQ(count, 1);
+  }
+}
+
+TEST(LogTest, LevelsAndPartsHaveNames) {
+  EXPECT_EQ(LogLevelFromName("warning"), log_level::kWarning);
+  EXPECT_FALSE(LogLevelFromName("loud"));
+  EXPECT_EQ(LogPartName(log_part::kStandin), "standin");
+}
+
+}  // namespace
+}  // namespace tarragondale
--- /dev/null
+++ b/src/wire/fields.h
@@ -0,0 +1,174 @@
+// Tables of member pointers that the codec walks, one for each struct.
+#ifndef TARRAGONDALE_SRC_WIRE_FIELDS_H_
+#define TARRAGONDALE_SRC_WIRE_FIELDS_H_
+
+#include <tuple>
+
+#include "tarragondale/wire.h"
+
+namespace tarragondale::wire {
+
+template <typename T>
+struct fields;
+
+template <typename... Members>
+constexpr auto FieldTable(Members... members) {
+  return std::make_tuple(members...);
+}
+
+template <>
+struct fields<request_id> {
+  static constexpr auto kTable =
+      FieldTable(&request_id::origin, &request_id::sequence);
+};
+
+template <>
+struct fields<log_position> {
+  static constexpr auto kTable =
+      FieldTable(&log_position::term, &log_position::position);
+};
+
+template <>
+struct fields<statement> {
+  static constexpr auto kTable =
+      FieldTable(&statement::sql, &statement::params);
+};
+
+template <>
+struct fields<column> {
+  static constexpr auto kTable = FieldTable(&column::name, &column::type);
+};
+
+template <>
+struct fields<statement_result> {
+  static constexpr auto kTable = FieldTable(&statement_result::columns,
+                                            &statement_result::rows,
+                                            &statement_result::affected);
+};
+
+template <>
+struct fields<execute_request> {
+  static constexpr auto kTable = FieldTable(&execute_request::id,
+                                            &execute_request::organisation,
+                                            &execute_request::group,
+                                            &execute_request::member,
+                                            &execute_request::kind,
+                                            &execute_request::step,
+                                            &execute_request::transaction,
+                                            &execute_request::statements,
+                                            &execute_request::idempotency_key,
+                                            &execute_request::request_digest,
+                                            &execute_request::expected_term,
+                                            &execute_request::minimum,
+                                            &execute_request::max_age_ms,
+                                            &execute_request::budget_ms,
+                                            &execute_request::majority);
+};
+
+template <>
+struct fields<execute_answer> {
+  static constexpr auto kTable = FieldTable(&execute_answer::id,
+                                            &execute_answer::code,
+                                            &execute_answer::reason,
+                                            &execute_answer::results,
+                                            &execute_answer::position,
+                                            &execute_answer::age_ms,
+                                            &execute_answer::from_primary,
+                                            &execute_answer::replayed,
+                                            &execute_answer::retry_after_ms);
+};
+
+template <>
+struct fields<cancel_request> {
+  static constexpr auto kTable = FieldTable(&cancel_request::id,
+                                            &cancel_request::group,
+                                            &cancel_request::member);
+};
+
+template <>
+struct fields<member_report> {
+  static constexpr auto kTable = FieldTable(&member_report::member,
+                                            &member_report::reachable,
+                                            &member_report::role,
+                                            &member_report::term,
+                                            &member_report::promised_term,
+                                            &member_report::last_term,
+                                            &member_report::position,
+                                            &member_report::term_start,
+                                            &member_report::age_ms,
+                                            &member_report::queue_length,
+                                            &member_report::service_time_us);
+};
+
+template <>
+struct fields<group_report> {
+  static constexpr auto kTable =
+      FieldTable(&group_report::group, &group_report::members);
+};
+
+template <>
+struct fields<group_interest> {
+  static constexpr auto kTable = FieldTable(&group_interest::groups);
+};
+
+template <>
+struct fields<vm_record> {
+  static constexpr auto kTable = FieldTable(&vm_record::name,
+                                            &vm_record::peer_address,
+                                            &vm_record::http_address,
+                                            &vm_record::availability_zone,
+                                            &vm_record::region,
+                                            &vm_record::incarnation,
+                                            &vm_record::state,
+                                            &vm_record::configuration_version);
+};
+
+template <>
+struct fields<probe> {
+  static constexpr auto kTable = FieldTable(&probe::sequence,
+                                            &probe::target,
+                                            &probe::origin,
+                                            &probe::gossip);
+};
+
+template <>
+struct fields<probe_answer> {
+  static constexpr auto kTable = FieldTable(&probe_answer::sequence,
+                                            &probe_answer::target,
+                                            &probe_answer::origin,
+                                            &probe_answer::gossip);
+};
+
+template <>
+struct fields<reach_request> {
+  static constexpr auto kTable = FieldTable(&reach_request::sequence,
+                                            &reach_request::group,
+                                            &reach_request::member);
+};
+
+template <>
+struct fields<reach_answer> {
+  static constexpr auto kTable = FieldTable(&reach_answer::sequence,
+                                            &reach_answer::group,
+                                            &reach_answer::report);
+};
+
+/// @brief Highest valid value of an enum in a message.
+template <typename E>
+inline constexpr int kLastEnumerator = 0;
+template <>
+inline constexpr int kLastEnumerator<request_kind> =
+    static_cast<int>(request_kind::kWrite);
+template <>
+inline constexpr int kLastEnumerator<transaction_step> =
+    static_cast<int>(transaction_step::kRollback);
+template <>
+inline constexpr int kLastEnumerator<member_role> =
+    static_cast<int>(member_role::kReplica);
+template <>
+inline constexpr int kLastEnumerator<vm_state> =
+    static_cast<int>(vm_state::kDead);
+
+}  // namespace tarragondale::wire
+
+#endif  // TARRAGONDALE_SRC_WIRE_FIELDS_H_
--- /dev/null
+++ b/src/wire/wire_test.cc
@@ -0,0 +1,161 @@
+// Tests of the message codec.
+#include "tarragondale/wire.h"
+
+#include <gtest/gtest.h>
+
+namespace tarragondale::wire {
+namespace {
+
+execute_request FullRequest() {
+  execute_request request;
+  request.id = {7, 9};
+  request.organisation = "north-office";
+  request.group = "orders";
+  request.member = "orders-1";
+  request.kind = request_kind::kWrite;
+  request.step = transaction_step::kCommit;
+  request.transaction = {7, 8};
+  request.statements = {{"INSERT INTO orders VALUES ($1, $2)",
+                         {std::string("o-1"), std::nullopt}}};
+  request.idempotency_key = "k";
+  request.request_digest = RequestDigest(request.kind, request.statements);
+  request.expected_term = 3;
+  request.minimum = {2, 17};
+  request.max_age_ms = 1000;
+  request.budget_ms = 250;
+  request.majority = false;
+  return request;
+}
+
+std::vector<message> OneOfEachType() {
+  execute_answer answer;
+  answer.id = {1, 2};
+  answer.code = result_code::kStatementFailed;
+  answer.reason = "duplicate";
+  answer.results = {
+      {{{"id", 25}, {"n", 20}}, {{std::string("a"), std::nullopt}}, 1}};
+  answer.position = {4, 5};
+  const member_report report{.member = "orders-2",
+                             .reachable = true,
+                             .role = member_role::kReplica,
+                             .term = 3,
+                             .promised_term = 3,
+                             .last_term = 2,
+                             .position = 12,
+                             .term_start = 10,
+                             .age_ms = -1,
+                             .queue_length = 4,
+                             .service_time_us = 300};
+  const vm_record vm{.name = "vm-1",
+                     .peer_address = "127.0.0.1:1",
+                     .http_address = "127.0.0.1:2",
+                     .availability_zone = "z",
+                     .region = "r",
+                     .incarnation = 6,
+                     .state = vm_state::kDead,
+                     .configuration_version = 12};
+  return {{"vm-1", FullRequest()},
+          {"vm-1", answer},
+          {"vm-1", cancel_request{{1, 2}, "orders", "orders-1"}},
+          {"vm-1", group_report{"orders", {report}}},
+          {"vm-1", group_interest{{"orders", "proofs"}}},
+          {"vm-1", probe{3, "vm-2", "vm-1", {vm}}},
+          {"vm-1", probe_answer{3, "vm-2", "vm-1", {vm}}},
+          {"vm-1", reach_request{4, "orders", "orders-2"}},
+          {"vm-1", reach_answer{4, "orders", report}}};
+}
+
+// Guards against a member that is missing from a field table or out of order.
+TEST(WireTest, EveryMessageTypeSurvivesTheRoundTrip) {
+  const auto messages = OneOfEachType();
+  ASSERT_EQ(messages.size(), std::variant_size_v<message_body>);
+  for (size_t i = 0; i < messages.size(); ++i) {
+    ASSERT_EQ(messages[i].body.index(), i);
+    const auto decoded = Decode(Encode(messages[i]));
+    ASSERT_TRUE(decoded) << MessageTypeName(messages[i].body);
+    EXPECT_EQ(*decoded, messages[i]) << MessageTypeName(messages[i].body);
+  }
+}
+
+// Guards against a crash or an accepted message when bytes are missing.
+TEST(WireTest, TruncatedMessagesAreRefused) {
+  for (const message& value : OneOfEachType()) {
+    const std::string bytes = Encode(value);
+    for (size_t length = 0; length < bytes.size(); ++length) {
+      EXPECT_FALSE(Decode(std::string_view(bytes).substr(0, length)));
+    }
+    EXPECT_FALSE(Decode(bytes + "x"));
+  }
+}
+
+// Guards against a crash on any damaged byte; a change inside text may decode.
+TEST(WireTest, DamagedBytesNeverCrash) {
+  for (const message& value : OneOfEachType()) {
+    const std::string bytes = Encode(value);
+    for (size_t at = 0; at < bytes.size(); ++at) {
+      for (const int mask : {0x01, 0x40, 0x80, 0xFF}) {
+        std::string damaged = bytes;
+        damaged[at] = static_cast<char>(damaged[at] ^ mask);
+        const auto decoded = Decode(damaged);
+        if (!decoded) {
+          EXPECT_FALSE(decoded.error().reason.empty());
+        }
+      }
+    }
+  }
+}
+
+// Guards against reading a body with the layout of another version.
+TEST(WireTest, AnotherVersionIsNamed) {
+  std::string bytes = Encode(OneOfEachType().front());
+  bytes[1] = 2;
+  const auto decoded = Decode(bytes);
+  ASSERT_FALSE(decoded);
+  EXPECT_EQ(decoded.error().code, result_code::kMessageVersionUnknown);
+}
+
+// Guards against an allocation as large as a forged length says.
+TEST(WireTest, ForgedLengthsAreRefused) {
+  const std::string huge_array = "\xDD\xFF\xFF\xFF\xFF";
+  const std::string huge_binary("\x94\x01\x00\xC6\xFF\xFF\xFF\xFF", 8);
+  EXPECT_FALSE(Decode(huge_array));
+  EXPECT_FALSE(Decode(huge_binary));
+  EXPECT_FALSE(Decode(std::string(64, '\x91')));
+}
+
+// Guards against one idempotency key that covers two different requests.
+TEST(WireTest, DigestDependsOnKindTextAndParameters) {
+  const std::vector<statement> a = {{"UPDATE t SET n = $1", {"1"}}};
+  const std::vector<statement> b = {{"UPDATE t SET n = $1", {"2"}}};
+  const std::vector<statement> null = {{"UPDATE t SET n = $1", {std::nullopt}}};
+  const std::string digest = RequestDigest(request_kind::kWrite, a);
+  EXPECT_EQ(digest, RequestDigest(request_kind::kWrite, a));
+  EXPECT_NE(digest, RequestDigest(request_kind::kRead, a));
+  EXPECT_NE(digest, RequestDigest(request_kind::kWrite, b));
+  EXPECT_NE(digest, RequestDigest(request_kind::kWrite, null));
+}
+
+// Guards against an answer of an earlier attempt that can't be replayed.
+TEST(WireTest, RecordedResultsSurviveTheRoundTrip) {
+  const std::vector<statement_result> results = {
+      {{{"id", 25}}, {{"a"}, {std::nullopt}}, 2}, {{}, {}, 7}};
+  const auto decoded = DecodeResults(EncodeResults(results));
+  ASSERT_TRUE(decoded);
+  EXPECT_EQ(*decoded, results);
+  EXPECT_FALSE(DecodeResults("garbage"));
+}
+
+TEST(WireTest, NamesAndEnumeratorsMatch) {
+  for (const auto kind : {request_kind::kRead, request_kind::kWrite}) {
+    EXPECT_EQ(RequestKindFromName(RequestKindName(kind)), kind);
+  }
+  for (const auto role :
+       {member_role::kUnknown, member_role::kPrimary, member_role::kReplica}) {
+    EXPECT_EQ(MemberRoleFromName(MemberRoleName(role)), role);
+  }
+  EXPECT_EQ(VmStateFromName("leaving"), vm_state::kLeaving);
+  EXPECT_FALSE(VmStateFromName("gone"));
+}
+
+}  // namespace
+}  // namespace tarragondale::wire
