--- a/include/tarragondale/wire.h
+++ b/include/tarragondale/wire.h
@@ -173,11 +173,20 @@
   bool operator==(const vm_record&) const = default;
 };
 
+/// @brief What a VM knows of the newest configuration.
+struct configuration_freshness {
+  int64_t version = 0;  ///< Newest version that the store was known to hold,
+  int64_t age_ms = -1;  ///< this long ago; -1: never known.
+
+  bool operator==(const configuration_freshness&) const = default;
+};
+
 /// @brief Membership probe.
 struct probe {
   uint64_t sequence = 0;
   std::string target;  ///< VM that shall answer; relayed if not the receiver.
   std::string origin;  ///< VM that waits for the answer.
+  configuration_freshness freshness;  ///< Of the sender.
   std::vector<vm_record> gossip;
 
   bool operator==(const probe&) const = default;
@@ -188,6 +197,7 @@
   uint64_t sequence = 0;
   std::string target;  ///< VM that answered.
   std::string origin;  ///< VM that waits for the answer; relayed to it.
+  configuration_freshness freshness;  ///< Of the sender.
   std::vector<vm_record> gossip;
 
   bool operator==(const probe_answer&) const = default;
--- /dev/null
+++ b/src/fleet/currency.cc
@@ -0,0 +1,78 @@
+// Decides whether the configuration of this VM is current.
+#include <algorithm>
+
+#include "tarragondale/fleet.h"
+
+namespace tarragondale::fleet {
+
+currency::currency(duration limit, std::string store_region)
+    : limit_(limit), store_region_(std::move(store_region)) {}
+
+void currency::OnStoreAnswer(time_point now, int64_t version) {
+  AddProof({now, version});
+}
+
+void currency::OnVmHeard(time_point now, const vm_heard& heard) {
+  heard_[heard.vm] = now;
+  if (heard.freshness.age_ms >= 0) {
+    AddProof(
+        {now - milliseconds(heard.freshness.age_ms), heard.freshness.version});
+  }
+}
+
+void currency::OnApplied(int64_t version) {
+  applied_ = std::max(applied_, version);
+  Compare();
+}
+
+bool currency::IsCurrent(time_point now) const {
+  if (current_at_ && now - *current_at_ <= limit_) {
+    return true;
+  }
+  return newest_ && applied_ >= newest_->version && ReachesStoreRegion(now);
+}
+
+wire::configuration_freshness currency::Freshness(time_point now) const {
+  if (!newest_) {
+    return {};
+  }
+  return {newest_->version, std::max<int64_t>(0, ToMs(now - newest_->at))};
+}
+
+void currency::AddProof(const proof& proof) {
+  // Versions only grow, so the later proof holds the higher version; a proof
+  // that was delayed on its way adds nothing.
+  if (!newest_ || proof.at > newest_->at) {
+    const int64_t version =
+        newest_ ? std::max(newest_->version, proof.version) : proof.version;
+    newest_ = {proof.at, version};
+  }
+  Compare();
+}
+
+void currency::Compare() {
+  if (newest_ && applied_ >= newest_->version) {
+    current_at_ =
+        current_at_ ? std::max(*current_at_, newest_->at) : newest_->at;
+  }
+}
+
+bool currency::ReachesStoreRegion(time_point now) const {
+  if (!view_) {
+    return false;
+  }
+  size_t known = 0;
+  size_t reached = 0;
+  for (const wire::vm_record& vm : view_->vms) {
+    if (vm.region != store_region_) {
+      continue;
+    }
+    ++known;
+    const auto found = heard_.find(vm.name);
+    const bool heard = found != heard_.end() && now - found->second <= limit_;
+    reached += heard || vm.name == view_->self ? 1 : 0;
+  }
+  return known > 0 && 2 * reached > known;
+}
+
+}  // namespace tarragondale::fleet
--- a/src/wire/fields.h
+++ b/src/wire/fields.h
@@ -123,6 +123,12 @@
                                             &vm_record::configuration_version);
 };
 
+template <>
+struct fields<configuration_freshness> {
+  static constexpr auto kTable = FieldTable(&configuration_freshness::version,
+                                            &configuration_freshness::age_ms);
+};
+
 template <>
 struct fields<probe> {
   static constexpr auto kTable = FieldTable(&probe::sequence,
--- a/src/wire/wire_test.cc
+++ b/src/wire/wire_test.cc
@@ -59,8 +59,8 @@
           {"vm-1", cancel_request{{1, 2}, "orders", "orders-1"}},
           {"vm-1", group_report{"orders", {report}}},
           {"vm-1", group_interest{{"orders", "proofs"}}},
-          {"vm-1", probe{3, "vm-2", "vm-1", {vm}}},
-          {"vm-1", probe_answer{3, "vm-2", "vm-1", {vm}}},
+          {"vm-1", probe{3, "vm-2", "vm-1", {8, 20}, {vm}}},
+          {"vm-1", probe_answer{3, "vm-2", "vm-1", {8, 20}, {vm}}},
           {"vm-1", reach_request{4, "orders", "orders-2"}},
           {"vm-1", reach_answer{4, "orders", report}}};
 }
