--- a/include/tarragondale/base/ring.h
+++ b/include/tarragondale/base/ring.h
@@ -74,7 +74,10 @@
   }
 
   tbb::concurrent_bounded_queue<T> queue_;
-  std::counting_semaphore<> available_{0};
+  // A counter of int size waits on the futex itself; a wider one goes through
+  // a proxy address in libstdc++.
+  static constexpr std::ptrdiff_t kMaxItems = 1 << 30;
+  std::counting_semaphore<kMaxItems> available_{0};
   std::function<void()> wake_;
 };
 
