--- a/src/fleet/fleet_test.cc
+++ b/src/fleet/fleet_test.cc
@@ -27,6 +27,7 @@
  public:
   explicit fleet_fake(int count, double loss = 0) : loss_(loss), random_(7) {
     std::vector<wire::vm_record> seeds;
+    seeds.reserve(static_cast<size_t>(count));
     for (int i = 0; i < count; ++i) {
       seeds.push_back(Record(i));
     }
--- a/src/runtime/request_decoder.cc
+++ b/src/runtime/request_decoder.cc
@@ -248,14 +248,14 @@
 }
 
 status ReadBody(const json& body, entry::caller_request& out) {
-  for (const auto& [name, value] : body.items()) {
-    const auto* const field =
-        std::find_if(kFields.begin(), kFields.end(),
-                     [&](const field_row& row) { return row.name == name; });
+  for (const auto& item : body.items()) {
+    const auto* const field = std::find_if(
+        kFields.begin(), kFields.end(),
+        [&](const field_row& row) { return row.name == item.key(); });
     if (field == kFields.end() || !Takes(*field, out.step)) {
-      return Invalid("the body has no field " + name + " here");
+      return Invalid("the body has no field " + item.key() + " here");
     }
-    if (const status problem = field->read(value, out)) {
+    if (const status problem = field->read(item.value(), out)) {
       return problem;
     }
   }
