Add config library: settings, rows, checks and keys

Settings are read by inih against a table of member pointers. Rows are decoded strictly, and a whole configuration is checked for contradictions.

--- a/include/tarragondale/config.h
+++ b/include/tarragondale/config.h
@@ -7,11 +7,13 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "tarragondale/base.h"
+#include "tarragondale/config/settings.h"
 
 namespace tarragondale::config {
 
@@ -94,6 +96,76 @@
 
 using configuration_ptr = std::shared_ptr<const configuration>;
 
+/// @brief Routes and pools of a file that operators write:
+/// `{"routes": [...], "pools": [...]}`.
+struct tables {
+  std::vector<route_row> routes;
+  std::vector<pool_row> pools;
+
+  bool operator==(const tables&) const = default;
+};
+
+/// @brief Name of a mode in pool rows: `majority` or `primary`.
+std::string_view AcknowledgeModeName(acknowledge_mode mode);
+
+/// @brief One-line JSON of a row. Bytes that are not UTF-8 are replaced.
+std::string EncodeRoute(const route_row& row);
+std::string EncodePool(const pool_row& row);
+std::string EncodeKey(const key_record& row);
+
+/// @brief Decodes a row strictly. Failure `table_invalid` names the row and
+/// the field: unknown, repeated or missing fields, wrong types, numbers out of
+/// range. `row` is how the reason calls the row, for example its store key.
+result<route_row> DecodeRoute(std::string_view json, std::string_view row);
+result<pool_row> DecodePool(std::string_view json, std::string_view row);
+result<key_record> DecodeKey(std::string_view json, std::string_view row);
+
+/// @brief Decodes a file of tables. `errors` receives every row that does not
+/// decode, with `file` in the reason; the other rows are returned.
+tables DecodeTables(std::string_view json,
+                    std::string_view file,
+                    std::vector<failure>& errors);
+
+/// @brief JSON of tables with one row a line.
+std::string EncodeTables(const tables& value);
+
+/// @brief True for 1 to 63 characters of `a` to `z`, `0` to `9` and `-`.
+bool IsName(std::string_view text);
+
+/// @brief Connections that one gateway may open to a member with a cap of
+/// `connections`: half of the cap less a reserve of 2, so that an old and a
+/// new gateway fit within the cap (docs/design.md, section 5).
+int GatewayConnections(int connections);
+
+/// @brief All contradictions in a configuration; empty if it may be applied.
+/// Every failure is `table_invalid`.
+std::vector<failure> CheckConfiguration(const configuration& value);
+
+/// @brief What operators should look at although the configuration may be
+/// applied: keys that no route accepts, groups with an even number of members.
+std::vector<std::string> ConfigurationWarnings(const configuration& value);
+
+/// @brief A new key: its record for the store, and the text for the caller,
+/// which exists only here.
+struct granted_key {
+  key_record record;
+  std::string bearer;  ///< `<key id>.<secret>`.
+};
+
+/// @brief Makes a key of 32 random bytes. Failures: `invalid_field` for a bad
+/// organisation name, `internal` without secure random numbers.
+result<granted_key> GrantKey(std::string_view organisation);
+
+/// @brief The record of the key that `bearer` proves. The pointer lives as
+/// long as the configuration. The time depends neither on the secret nor on
+/// whether the id exists. Failures: `key_missing` without a bearer,
+/// `key_invalid` for everything else that does not match.
+result<const key_record*> VerifyBearer(const configuration& value,
+                                       std::optional<std::string_view> bearer);
+
+/// @brief True if SHA-256 of `key` is `digest` (32 raw bytes); constant time.
+bool VerifyOperatorKey(std::string_view digest, std::string_view key);
+
 }  // namespace tarragondale::config
 
 #endif  // TARRAGONDALE_CONFIG_H_
--- /dev/null
+++ b/src/config/settings_table.cc
@@ -0,0 +1,149 @@
+// The table of settings.
+#include <arpa/inet.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <limits>
+
+#include "tarragondale/config/settings.h"
+
+namespace tarragondale::config {
+namespace {
+
+using enum setting_type;
+
+constexpr int64_t kMaxTimeoutMs = 3600000;
+constexpr int64_t kMaxBytes = 67108864;
+
+constexpr std::array kTable = std::to_array<setting_info>({
+    {"vm", "name", kName, &settings::vm_name, "", 0, 0,
+     "Name of this VM; unique in the fleet."},
+    {"vm", "availability_zone", kName, &settings::availability_zone, "", 0, 0,
+     "Zone of this VM."},
+    {"vm", "region", kName, &settings::region, "", 0, 0, "Region of the zone."},
+    {"vm", "http_address", kAddress, &settings::http_address, "", 0, 0,
+     "Where callers and operators connect."},
+    {"vm", "peer_address", kAddress, &settings::peer_address, "", 0, 0,
+     "Where other VMs connect."},
+    {"store", "endpoints", kAddressList, &settings::store_endpoints, "", 0, 0,
+     "Addresses of the key-value service, tried in order."},
+    {"store", "timeout_ms", kInteger, &settings::store_timeout_ms, "ms", 10,
+     60000, "Time limit of one call to the key-value service."},
+    {"vm_list", "url", kUrl, &settings::vm_list_url, "", 0, 0,
+     "The platform's list of VMs."},
+    {"limits", "body_bytes", kInteger, &settings::body_bytes, "bytes", 1024,
+     kMaxBytes, "Largest body of a request."},
+    {"limits", "header_bytes", kInteger, &settings::header_bytes, "bytes", 1024,
+     1048576, "Largest total size of a request's headers."},
+    {"limits", "header_timeout_ms", kInteger, &settings::header_timeout_ms,
+     "ms", 100, kMaxTimeoutMs,
+     "Time in which a started request must arrive completely."},
+    {"limits", "idle_timeout_ms", kInteger, &settings::idle_timeout_ms, "ms",
+     100, kMaxTimeoutMs,
+     "A caller connection without a request is closed after this time."},
+    {"limits", "caller_connections", kInteger, &settings::caller_connections,
+     "", 1, 1000000, "Open caller connections of this VM."},
+    {"limits", "queue_length", kInteger, &settings::queue_length, "", 1, 100000,
+     "Requests of one organisation that wait at a gateway for one member."},
+    {"limits", "request_timeout_ms", kInteger, &settings::request_timeout_ms,
+     "ms", 10, kMaxTimeoutMs,
+     "Deadline of a request that states none, and the longest it may state."},
+    {"limits", "answer_bytes", kInteger, &settings::answer_bytes, "bytes", 1024,
+     kMaxBytes, "Largest result of one request."},
+    {"limits", "transaction_idle_ms", kInteger, &settings::transaction_idle_ms,
+     "ms", 100, kMaxTimeoutMs,
+     "An interactive transaction without a request is rolled back after this "
+     "time."},
+    {"session", "token_key", kHex32, &settings::token_key, "", 0, 0,
+     "Secret that signs session tokens; the same on all VMs."},
+    {"admin", "operator_key_digest", kHex32, &settings::operator_key_digest, "",
+     0, 0, "SHA-256 of the operator key."},
+    {"log", "level", kLogLevel, &settings::level, "", 0, 0,
+     "Least severe level that is written."},
+});
+
+constexpr std::array<std::string_view, 4> kLevels = {"debug", "info", "warning",
+                                                     "error"};
+
+bool IsPort(std::string_view text) {
+  int port = 0;
+  const auto [end, error] =
+      std::from_chars(text.data(), text.data() + text.size(), port);
+  return error == std::errc() && end == text.data() + text.size() &&
+         port >= 1 && port <= std::numeric_limits<uint16_t>::max();
+}
+
+}  // namespace
+
+std::span<const setting_info> SettingsTable() {
+  return kTable;
+}
+
+std::string AllowedText(const setting_info& row) {
+  switch (row.type) {
+    case kName:
+      return "1 to 63 characters of a-z, 0-9 and -";
+    case kAddress:
+      return "IP:port";
+    case kAddressList:
+      return "IP:port, separated by commas";
+    case kUrl:
+      return "http://IP:port/path";
+    case kHex32:
+      return "64 hexadecimal digits";
+    case kLogLevel:
+      return fmt::format("{}", fmt::join(kLevels, ", "));
+    case kInteger:
+      break;
+  }
+  return fmt::format("{} to {}{}{}", row.minimum, row.maximum,
+                     row.unit.empty() ? "" : " ", row.unit);
+}
+
+std::string DefaultText(const setting_info& row) {
+  const settings defaults;
+  if (const auto* number = std::get_if<int64_t settings::*>(&row.member)) {
+    return fmt::to_string(defaults.**number);
+  }
+  if (const auto* level = std::get_if<log_level settings::*>(&row.member)) {
+    return std::string(kLevels[static_cast<size_t>(defaults.**level)]);
+  }
+  return "";
+}
+
+bool IsAddress(std::string_view text) {
+  const size_t colon = text.rfind(':');
+  if (colon == std::string_view::npos || !IsPort(text.substr(colon + 1))) {
+    return false;
+  }
+  std::string host(text.substr(0, colon));
+  std::array<unsigned char, sizeof(in6_addr)> bytes{};
+  if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
+    host = host.substr(1, host.size() - 2);
+    return inet_pton(AF_INET6, host.c_str(), bytes.data()) == 1;
+  }
+  return inet_pton(AF_INET, host.c_str(), bytes.data()) == 1;
+}
+
+result<http_url> ParseHttpUrl(std::string_view text) {
+  constexpr std::string_view kScheme = "http://";
+  if (text.starts_with(kScheme)) {
+    const std::string_view rest = text.substr(kScheme.size());
+    const size_t slash = rest.find('/');
+    const std::string_view address = rest.substr(0, slash);
+    const std::string_view path =
+        slash == std::string_view::npos ? "/" : rest.substr(slash);
+    // A space or control character would end the request line early.
+    const bool printable = std::all_of(
+        path.begin(), path.end(), [](char c) { return c > ' ' && c < '\x7F'; });
+    if (IsAddress(address) && printable) {
+      return http_url{std::string(address), std::string(path)};
+    }
+  }
+  return failure{result_code::kSettingInvalid,
+                 fmt::format("{:?} is not http://IP:port/path", text)};
+}
+
+}  // namespace tarragondale::config
