--- a/src/runtime/duty_thread.h
+++ b/src/runtime/duty_thread.h
@@ -39,6 +39,9 @@
   /// @brief Adds an event; false if the ring is full. Thread-safe.
   bool Post(Event event) { return events_.TryPush(std::move(event)); }
 
+  /// @brief Number of events that wait. Thread-safe.
+  size_t SizeApprox() const { return events_.SizeApprox(); }
+
   /// @brief Ends the thread; events that are left are not handled.
   void Stop() {
     stopping_ = true;
--- a/src/runtime/http_server.cc
+++ b/src/runtime/http_server.cc
@@ -89,11 +89,15 @@
   }
 
   void StartDrain() {
+    asio::post(context_, [this] { shared_.draining = true; });
+  }
+
+  void StopAccepting() {
     asio::post(context_, [this] {
       shared_.draining = true;
       error_code ignored;
       acceptor_.close(ignored);
-      ForEachSession([](http_session& session) { session.StartDrain(); });
+      ForEachSession([](http_session& session) { session.CloseIfIdle(); });
     });
   }
 
@@ -192,6 +196,10 @@
   impl_->StartDrain();
 }
 
+void http_server::StopAccepting() {
+  impl_->StopAccepting();
+}
+
 void http_server::Stop() {
   impl_->Stop();
 }
--- a/src/runtime/http_server.h
+++ b/src/runtime/http_server.h
@@ -63,10 +63,13 @@
   /// @brief Sends an answer. Thread-safe.
   void Answer(entry::answer_caller answer);
 
-  /// @brief Takes no new connections from now on; open ones are closed after
-  /// the answer to their present request, idle ones at once. Thread-safe.
+  /// @brief Fails `/readyz` and closes each connection after its next answer,
+  /// so that callers move to other VMs; requests are still taken. Thread-safe.
   void StartDrain();
 
+  /// @brief Takes no new connections and closes idle ones. Thread-safe.
+  void StopAccepting();
+
   /// @brief Closes all connections and ends the thread.
   void Stop();
 
--- a/src/runtime/http_server_test.cc
+++ b/src/runtime/http_server_test.cc
@@ -266,6 +266,10 @@
   busy.Send(Read("a"));
   const auto request = NextRequest();
   server_->StartDrain();
+  raw_client fresh(server_->port());
+  fresh.Send("GET /readyz HTTP/1.1\r\nHost: x\r\n\r\n");
+  EXPECT_NE(fresh.ReadAnswer().find("503"), std::string::npos);
+  server_->StopAccepting();
   EXPECT_TRUE(idle.WaitForClose());
   AnswerWith(request.exchange, "whole");
   const std::string answer = busy.ReadAnswer();
--- a/src/runtime/http_session.cc
+++ b/src/runtime/http_session.cc
@@ -66,8 +66,7 @@
   }
 }
 
-void http_session::StartDrain() {
-  keep_alive_ = false;
+void http_session::CloseIfIdle() {
   if (state_ == state::kIdle) {
     Close();
   }
@@ -193,7 +192,7 @@
 
 void http_session::Dispatch() {
   shared_.metrics.requests.fetch_add(1, std::memory_order_relaxed);
-  keep_alive_ = keep_alive_ && parser_->keep_alive() && !shared_.draining;
+  keep_alive_ = parser_->keep_alive();
   const http_request request = ToRequest(parser_->release());
   parser_.reset();
   state_ = state::kServing;
@@ -304,7 +303,7 @@
 void http_session::Write(http_answer answer, bool close) {
   EndExchange();
   state_ = state::kWriting;
-  close_after_write_ = close || !keep_alive_;
+  close_after_write_ = close || !keep_alive_ || shared_.draining;
   response_.emplace(static_cast<http::status>(answer.status), 11);
   response_->set(http::field::content_type, answer.content_type);
   for (const auto& [name, value] : answer.headers) {
@@ -330,7 +329,7 @@
     Close();
     return;
   }
-  if (close_after_write_ || !keep_alive_) {
+  if (close_after_write_) {
     Linger();
     return;
   }
--- a/src/runtime/http_session.h
+++ b/src/runtime/http_session.h
@@ -54,8 +54,8 @@
   /// @brief Writes the answer if `exchange` is the present one.
   void OnAnswer(const entry::answer_caller& answer);
 
-  /// @brief Closes now if no request is in progress, else after its answer.
-  void StartDrain();
+  /// @brief Closes if no request is in progress.
+  void CloseIfIdle();
 
   void Close();
 
