--- a/src/store/connection.cc
+++ b/src/store/connection.cc
@@ -178,10 +178,11 @@
   stream_->expires_at(deadline);
 }
 
-// An idle connection on which bytes or an end of file wait can't be used
-// again. Finding this before the request is sent keeps its outcome known.
+// An idle connection on which bytes or an end of file wait, or that sent more
+// bytes than its last answer, can't be used again. Finding this before the
+// request is sent keeps its outcome known.
 bool connection::Usable(const std::string& endpoint) {
-  if (!stream_ || endpoint_ != endpoint || stopped_) {
+  if (!stream_ || endpoint_ != endpoint || buffer_.size() != 0 || stopped_) {
     return false;
   }
   beast::error_code error;
