--- a/include/tarragondale/entry.h
+++ b/include/tarragondale/entry.h
@@ -146,8 +146,9 @@
   duration region_latency{1'000};         ///< One way between zones.
   duration other_region_latency{8'000};   ///< One way between regions.
   duration metered_link_penalty{20'000};  ///< Added for another region.
-  /// Added for the primary, which has the writes to carry.
-  duration primary_penalty{5'000};
+  /// Added for the primary, which has the writes to carry. As long as
+  /// `replica_wait`, so that a replica that qualifies in time is preferred.
+  duration primary_penalty{20'000};
 
   milliseconds report_max_age{2'000};  ///< Older reports count for nothing.
   /// Error margin of a replica's age: members are polled at this interval.
