--- a/src/standin/function_call.cc
+++ b/src/standin/function_call.cc
@@ -41,14 +41,14 @@
       trimmed.size() > kMaxCallLength) {
     return std::nullopt;
   }
-  static const std::regex kCall(
+  static const std::regex call_pattern(
       R"(select\s*\*\s*from\s+(tarragondale_\w+)\s*\(([^]*)\))",
       std::regex::icase);
-  static const std::regex kArgument(
+  static const std::regex argument_pattern(
       R"(\s*('(?:[^']|'')*'|-?\d+|\$\d{1,3}|null)\s*(,|$))", std::regex::icase);
   std::smatch match;
   const std::string text(trimmed);
-  if (!std::regex_match(text, match, kCall)) {
+  if (!std::regex_match(text, match, call_pattern)) {
     return std::nullopt;
   }
   function_call call;
@@ -60,7 +60,7 @@
   bool more = !TrimStatement(rest).empty();
   while (more) {
     std::smatch argument;
-    if (!std::regex_search(rest, argument, kArgument,
+    if (!std::regex_search(rest, argument, argument_pattern,
                            std::regex_constants::match_continuous)) {
       throw sql_error{"42601", "syntax error in the arguments of a function"};
     }
--- a/src/standin/http_service.cc
+++ b/src/standin/http_service.cc
@@ -84,7 +84,8 @@
     ++calls_[request.path];
   }
   if (listener_.faults().refuse) {
-    co_await WriteAnswer(client, {kUnavailable, kRefusal});
+    const http_answer refusal{kUnavailable, kRefusal};
+    co_await WriteAnswer(client, refusal);
     co_return true;
   }
   if (!stream_path_.empty() && request.path == stream_path_) {
--- a/src/standin/key_value_service.cc
+++ b/src/standin/key_value_service.cc
@@ -100,10 +100,10 @@
 }
 
 const json& Member(const json& body, const char* name) {
-  static const json kEmpty = json::object();
+  static const json empty = json::object();
   const auto found = body.find(name);
   if (found == body.end()) {
-    return kEmpty;
+    return empty;
   }
   if (!found->is_object()) {
     Fail(std::string(name) + " is not an object");
@@ -112,10 +112,10 @@
 }
 
 const json& List(const json& body, const char* name) {
-  static const json kEmpty = json::array();
+  static const json empty = json::array();
   const auto found = body.find(name);
   if (found == body.end()) {
-    return kEmpty;
+    return empty;
   }
   if (!found->is_array()) {
     Fail(std::string(name) + " is not an array");
--- a/src/standin/key_value_state.cc
+++ b/src/standin/key_value_state.cc
@@ -2,11 +2,12 @@
 #include "src/standin/key_value_state.h"
 
 #include <algorithm>
+#include <string_view>
 
 namespace tarragondale::standin {
 namespace {
 
-const std::string kNoUpperBound("\0", 1);
+constexpr std::string_view kNoUpperBound("\0", 1);
 
 std::vector<key_value> Select(const key_value_state::key_map& keys,
                               const key_range& range) {
--- a/src/standin/pg_session.cc
+++ b/src/standin/pg_session.cc
@@ -65,7 +65,7 @@
   task<pg_message> ReadMessage();
   task<bool> Startup();
   task<bool> ReadStartupPacket();
-  task<bool> Refuse(sql_error error);
+  task<bool> Refuse(std::string sqlstate, std::string message);
   task<void> Loop();
   task<void> Handle(const pg_message& message);
   task<void> HandleExtended(const pg_message& message);
@@ -128,8 +128,8 @@
   co_return message;
 }
 
-task<bool> pg_session::Refuse(sql_error error) {
-  out_.Error(error, "FATAL");
+task<bool> pg_session::Refuse(std::string sqlstate, std::string message) {
+  out_.Error({std::move(sqlstate), std::move(message)}, "FATAL");
   co_await Flush(false);
   co_return false;
 }
@@ -152,7 +152,7 @@
     } else if (code == kCancelRequest) {
       co_return false;
     } else if (code >> 16U != kProtocolMajor) {
-      co_return co_await Refuse({"0A000", "unsupported protocol version"});
+      co_return co_await Refuse("0A000", "unsupported protocol version");
     } else {
       co_return true;
     }
@@ -165,11 +165,11 @@
     co_return false;
   }
   if (endpoint_.faults().refuse) {
-    co_return co_await Refuse({"57P03", "refused by fault injection"});
+    co_return co_await Refuse("57P03", "refused by fault injection");
   }
   if (!member_.AddConnection()) {
     ++member_.counters()["connections_refused"];
-    co_return co_await Refuse({"53300", "too many connections"});
+    co_return co_await Refuse("53300", "too many connections");
   }
   counted_ = true;
   ++member_.counters()["connections_opened"];
@@ -200,7 +200,7 @@
     problem = error.message;
   }
   ++member_.counters()["protocol_errors"];
-  co_await Refuse({"08P01", problem});
+  co_await Refuse("08P01", problem);
 }
 
 task<void> pg_session::Loop() {
@@ -283,7 +283,10 @@
   std::optional<sql_error> failed;
   try {
     for (size_t i = 0; i < texts.size(); ++i) {
-      const sql_result result = co_await runner_.Run({texts[i], {}});
+      // GCC 12 destroys an aggregate twice if it is a temporary in an
+      // expression with co_await, so it has a name here.
+      const sql_statement statement{texts[i], {}};
+      const sql_result result = co_await runner_.Run(statement);
       if (i + 1 == texts.size()) {
         co_await runner_.FinishImplicit();
       }
--- a/src/standin/reactor.h
+++ b/src/standin/reactor.h
@@ -3,8 +3,7 @@
 #ifndef SRC_STANDIN_REACTOR_H_
 #define SRC_STANDIN_REACTOR_H_
 
-// Boost 1.74's awaitable.hpp uses std::exchange without including <utility>.
-#include <utility>
+#include "src/standin/coroutine.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
--- a/src/standin/statement_runner.cc
+++ b/src/standin/statement_runner.cc
@@ -43,12 +43,12 @@
 
 // BEGIN and its variants accept only these words.
 bool KnownBeginWords(const std::vector<std::string>& words) {
-  static const std::vector<std::string> kKnown = {
+  static const std::vector<std::string> known = {
       "BEGIN",      "START",        "WORK",        "TRANSACTION", "ISOLATION",
       "LEVEL",      "READ",         "ONLY",        "WRITE",       "COMMITTED",
       "REPEATABLE", "SERIALIZABLE", "UNCOMMITTED", "DEFERRABLE"};
   return std::all_of(words.begin(), words.end(), [](const std::string& word) {
-    return std::find(kKnown.begin(), kKnown.end(), word) != kKnown.end();
+    return std::find(known.begin(), known.end(), word) != known.end();
   });
 }
 
@@ -229,10 +229,10 @@
 sql_description statement_runner::Describe(const std::string& text) {
   sql_description description;
   const auto words = CommandWords(text);
-  static const std::vector<std::string> kCommands = {
+  static const std::vector<std::string> commands = {
       "BEGIN", "START", "COMMIT", "END", "ROLLBACK", "ABORT", "DISCARD"};
-  if (!words.empty() && std::find(kCommands.begin(), kCommands.end(),
-                                  words[0]) != kCommands.end()) {
+  if (!words.empty() &&
+      std::find(commands.begin(), commands.end(), words[0]) != commands.end()) {
     return description;
   }
   // Any parameters do: only the name and their number matter here.
