--- a/src/pool/member_gateway.cc
+++ b/src/pool/member_gateway.cc
@@ -331,14 +331,17 @@
   return true;
 }
 
+bool member_gateway::NewWaiting() const {
+  return !released_.empty() || !wholes_.empty() ||
+         (!begins_.empty() && MayPin());
+}
+
 bool member_gateway::MayPin() const {
   return transactions_.size() + 1 < WorkLimit();
 }
 
 bool member_gateway::DispatchNew(time_point now) {
-  const bool waiting =
-      !released_.empty() || !wholes_.empty() || (!begins_.empty() && MayPin());
-  if (!waiting || !monitor_.known()) {
+  if (!NewWaiting() || !monitor_.known()) {
     return false;
   }
   connection* const target = connections_.FindFree();
@@ -763,10 +766,11 @@
       consider(entry.last_used + options.transaction_idle_limit);
     }
   }
-  const bool waiting =
-      !released_.empty() || !wholes_.empty() || (!begins_.empty() && MayPin());
   const size_t count = connections_.Count(connection_use::kWork);
-  if ((waiting && count < WorkLimit() && !connections_.HasFree() &&
+  const bool slot_free =
+      connections_.SlotsUsed() < static_cast<size_t>(pool_.slots);
+  if ((NewWaiting() && slot_free && count < WorkLimit() &&
+       !connections_.HasFree() &&
        connections_.CountOpening(connection_use::kWork) == 0 &&
        monitor_.known()) ||
       count < WarmTarget()) {
--- a/src/pool/member_gateway.h
+++ b/src/pool/member_gateway.h
@@ -82,6 +82,8 @@
   bool DispatchStep(time_point now);
   bool DispatchNew(time_point now);
   pending_ptr TakeNext();
+  /// @brief A new request could start on a free connection.
+  bool NewWaiting() const;
   bool MayPin() const;
   bool Park(const pending_ptr& item);
   void Start(time_point now, connection& target, const pending_ptr& item);
