--- a/include/tarragondale/config/settings.h
+++ b/include/tarragondale/config/settings.h
@@ -23,6 +23,7 @@
   std::string http_address;  ///< IP:port for callers and operators.
   std::string peer_address;  ///< IP:port for other VMs.
   std::vector<std::string> store_endpoints;  ///< IP:port, tried in order.
+  std::string store_region;                  ///< Region of the service.
   int64_t store_timeout_ms = 1000;
   std::string vm_list_url;
   int64_t body_bytes = 1048576;
--- a/src/config/config_test.cc
+++ b/src/config/config_test.cc
@@ -26,7 +26,7 @@
 std::string GoodSettings() {
   return "[vm]\nname = vm-1\navailability_zone = kgn-a\nregion = kingston\n"
          "http_address = 127.0.0.1:8080\npeer_address = [::1]:8081\n"
-         "[store]\nendpoints = 127.0.0.1:1, 127.0.0.1:2 ; two\n"
+         "[store]\nendpoints = 127.0.0.1:1, 127.0.0.1:2 ; two\nregion = kingston\n"
          "[vm_list]\nurl = http://127.0.0.1:9/vms\n"
          "[session]\ntoken_key = " +
          Digits() + "\n[admin]\noperator_key_digest = " + Digits() + "\n";
@@ -65,6 +65,7 @@
       R"(a.ini: vm.availability_zone is missing; allowed: 1 to 63 characters of a-z, 0-9 and -
 a.ini: vm.http_address is missing; allowed: IP:port
 a.ini: vm.peer_address is missing; allowed: IP:port
+a.ini: store.region is missing; allowed: 1 to 63 characters of a-z, 0-9 and -
 a.ini: vm_list.url is missing; allowed: http://IP:port/path
 a.ini:2: vm.name: "VM" is not allowed; allowed: 1 to 63 characters of a-z, 0-9 and -
 a.ini:3: vm.name stands twice
--- a/src/config/settings_table.cc
+++ b/src/config/settings_table.cc
@@ -29,6 +29,9 @@
      "Where other VMs connect."},
     {"store", "endpoints", kAddressList, &settings::store_endpoints, "", 0, 0,
      "Addresses of the key-value service, tried in order."},
+    {"store", "region", kName, &settings::store_region, "", 0, 0,
+     "Region of the key-value service; a VM that reaches no VM there and no "
+     "store is cut off."},
     {"store", "timeout_ms", kInteger, &settings::store_timeout_ms, "ms", 10,
      60000, "Time limit of one call to the key-value service."},
     {"vm_list", "url", kUrl, &settings::vm_list_url, "", 0, 0,
--- a/src/runtime/control_duty.cc
+++ b/src/runtime/control_duty.cc
@@ -312,7 +312,8 @@
   json vms = json::array();
   if (view_) {
     for (const wire::vm_record& vm : view_->vms) {
-      vms.push_back({{"name", vm.name}, {"state", wire::VmStateName(vm.state)}});
+      vms.push_back(
+          {{"name", vm.name}, {"state", wire::VmStateName(vm.state)}});
     }
   }
   const json body = {
--- a/src/runtime/daemon.cc
+++ b/src/runtime/daemon.cc
@@ -80,8 +80,7 @@
   options.header_bytes = static_cast<size_t>(settings.header_bytes);
   options.header_timeout = milliseconds(settings.header_timeout_ms);
   options.idle_timeout = milliseconds(settings.idle_timeout_ms);
-  options.caller_connections =
-      static_cast<size_t>(settings.caller_connections);
+  options.caller_connections = static_cast<size_t>(settings.caller_connections);
   options.operator_key_digest = HexEncode(settings.operator_key_digest);
   return options;
 }
@@ -95,10 +94,9 @@
   explicit implementation(config::settings settings)
       : settings_(std::move(settings)),
         origin_(RandomNumber()),
-        transport_(settings_.vm_name,
-                   [this](wire::message message) {
-                     OnMessage(std::move(message));
-                   }),
+        transport_(
+            settings_.vm_name,
+            [this](wire::message message) { OnMessage(std::move(message)); }),
         router_(EntryOptions(settings_, origin_)),
         gateway_(GatewayOptions(settings_)),
         http_(HttpOptions(settings_, ~origin_), HttpHandlers()),
@@ -115,8 +113,8 @@
     if (const status problem = http_.Start()) {
       return problem;
     }
-    control_ = std::make_unique<control_duty>(ControlOptions(),
-                                              ControlOutputs());
+    control_ =
+        std::make_unique<control_duty>(ControlOptions(), ControlOutputs());
     gateway_client_ = driver_.AddClient([this](database::driver_event event) {
       PostGateway(std::move(event));
     });
@@ -270,10 +268,8 @@
   // --- Entry ---
 
   duty_thread<entry::event>::functions EntryFunctions() {
-    return {.handle =
-                [this](time_point now, entry::event event) {
-                  StepEntry(now, event);
-                },
+    return {.handle = [this](time_point now,
+                             entry::event event) { StepEntry(now, event); },
             .tick =
                 [this](time_point now) {
                   StepEntry(now, entry::tick{});
@@ -282,8 +278,7 @@
                     metrics_.SetEntry(router_.metrics(), router_.in_flight());
                   }
                 },
-            .next_deadline =
-                [this]() -> std::optional<time_point> {
+            .next_deadline = [this]() -> std::optional<time_point> {
               return std::min(
                   router_.NextDeadline().value_or(next_entry_metrics_),
                   next_entry_metrics_);
@@ -295,8 +290,7 @@
       if (auto* const answer = std::get_if<entry::answer_caller>(&action)) {
         LogAnswer(*answer);
         http_.Answer(std::move(*answer));
-      } else if (auto* const send =
-                     std::get_if<entry::send_request>(&action)) {
+      } else if (auto* const send = std::get_if<entry::send_request>(&action)) {
         const request_id id = send->request.id;
         if (!Deliver(send->vm, std::move(send->request))) {
           StepEntry(now, entry::send_failed{id});
@@ -316,9 +310,9 @@
 
   static void LogAnswer(const entry::answer_caller& answer) {
     const result_code_info& info = InfoOf(answer.code);
-    const log_level level =
-        info.result == outcome::kUnknown ? log_level::kWarning
-                                         : log_level::kDebug;
+    const log_level level = info.result == outcome::kUnknown
+                                ? log_level::kWarning
+                                : log_level::kDebug;
     Log(level, log_part::kEntry, "request {} ends as {}: {}.",
         ToText(answer.id), OutcomeName(info.result), info.name);
   }
@@ -326,10 +320,8 @@
   // --- Gateway ---
 
   duty_thread<pool::event>::functions GatewayFunctions() {
-    return {.handle =
-                [this](time_point now, pool::event event) {
-                  StepGateway(now, event);
-                },
+    return {.handle = [this](time_point now,
+                             pool::event event) { StepGateway(now, event); },
             .tick =
                 [this](time_point now) {
                   StepGateway(now, pool::tick{});
@@ -338,8 +330,7 @@
                     metrics_.SetGateway(gateway_.metrics());
                   }
                 },
-            .next_deadline =
-                [this]() -> std::optional<time_point> {
+            .next_deadline = [this]() -> std::optional<time_point> {
               return std::min(
                   gateway_.NextDeadline().value_or(next_gateway_metrics_),
                   next_gateway_metrics_);
@@ -425,8 +416,8 @@
       next_maintenance_ = now + kMaintainInterval;
       transport_.Maintain(now, kLinkSilence, kLinkIdle);
     }
-    if (const auto answer = follower_ ? follower_->LastAnswer()
-                                      : std::nullopt) {
+    if (const auto answer =
+            follower_ ? follower_->LastAnswer() : std::nullopt) {
       if (answer->sent > last_store_answer_) {
         last_store_answer_ = answer->sent;
         control_->Handle(now, store_answered{answer->sent, answer->version});
--- a/src/runtime/metrics_text.cc
+++ b/src/runtime/metrics_text.cc
@@ -13,7 +13,7 @@
 template <typename Struct>
 struct counter_row {
   std::string_view name;
-  uint64_t Struct::* member;
+  uint64_t Struct::*member;
   std::string_view help;
 };
 
@@ -136,8 +136,7 @@
   Counter(out, "http_early_refusals_total",
           "HTTP requests refused before the entry.", http.early_refusals);
   Counter(out, "peer_sent_total", "Messages to other VMs.", peer.sent);
-  Counter(out, "peer_sent_bytes_total", "Bytes to other VMs.",
-          peer.sent_bytes);
+  Counter(out, "peer_sent_bytes_total", "Bytes to other VMs.", peer.sent_bytes);
   Counter(out, "peer_received_total", "Messages of other VMs.", peer.received);
   Counter(out, "peer_received_bytes_total", "Bytes of other VMs.",
           peer.received_bytes);
--- a/src/runtime/metrics_text.h
+++ b/src/runtime/metrics_text.h
@@ -24,9 +24,9 @@
 
  private:
   mutable std::mutex mutex_;
-  entry::entry_metrics entry_;      // Guarded by mutex_.
-  size_t entry_in_flight_ = 0;      // Guarded by mutex_.
-  pool::gateway_metrics gateway_;   // Guarded by mutex_.
+  entry::entry_metrics entry_;     // Guarded by mutex_.
+  size_t entry_in_flight_ = 0;     // Guarded by mutex_.
+  pool::gateway_metrics gateway_;  // Guarded by mutex_.
 };
 
 }  // namespace tarragondale::runtime
