Refuse edits of rows that changed since they were read; add examples

A row in a file of tables that keeps its version conflicts if another operator has changed it since. Without that, the second of two operators would overwrite the first one unseen.

--- a/include/tarragondale/store/configuration_store.h
+++ b/include/tarragondale/store/configuration_store.h
@@ -86,7 +86,9 @@
   int64_t revision = 0;
 };
 
-/// @brief Rows to write and to delete. Their versions are set by the edit.
+/// @brief Rows to write and to delete. A route or pool whose version is not 0
+/// is based on that version of the row; if the row has changed since, the edit
+/// is a conflict. The edit sets the versions of what it writes.
 struct edit_change {
   std::vector<config::route_row> routes;
   std::vector<config::pool_row> pools;
@@ -110,7 +112,8 @@
 };
 
 /// @brief Plans an edit on a snapshot. Failures: `table_invalid` with all
-/// reasons, `row_not_found` for a deletion, `store_row_invalid` if a row stays
+/// reasons, `version_conflict` for a row that is based on an older version,
+/// `row_not_found` for a deletion, `store_row_invalid` if a row stays
 /// that does not decode.
 result<edit_plan> PlanEdit(const snapshot& base,
                            const edit_change& change,
@@ -150,6 +153,7 @@
 
  private:
   result<edit_outcome> Commit(const edit_plan& plan);
+  result<std::vector<audit_row>> ReadAudit(int64_t first, int64_t limit);
 
   key_value_store& store_;
   std::function<void()> pause_;
--- a/src/config/config_test.cc
+++ b/src/config/config_test.cc
@@ -274,6 +274,27 @@
   });
 }
 
+// Guards against examples that the program refuses.
+TEST(ExamplesTest, SettingsAndTablesAreValid) {
+  const std::string folder = TARRAGONDALE_SOURCE_DIR "/examples/";
+  EXPECT_EQ(Reasons(LoadSettings(folder + "settings.ini").errors),
+            std::vector<std::string>());
+  EXPECT_EQ(LoadSettings(folder + "absent.ini").errors.size(), 1U);
+  std::vector<failure> errors;
+  const tables read =
+      DecodeTables(ReadFile(folder + "tables.json"), "tables.json", errors);
+  EXPECT_EQ(Reasons(errors), std::vector<std::string>());
+  configuration value;
+  for (const route_row& row : read.routes) {
+    value.routes[row.name] = row;
+  }
+  for (const pool_row& row : read.pools) {
+    value.pools[row.name] = row;
+  }
+  EXPECT_EQ(Reasons(CheckConfiguration(value)), std::vector<std::string>());
+  EXPECT_TRUE(ConfigurationWarnings(value).empty());
+}
+
 TEST(CheckTest, DoubtfulRowsAreWarningsOnly) {
   configuration value = Good();
   const key_record key = GrantKey("other")->record;
--- a/src/store/configuration_store.cc
+++ b/src/store/configuration_store.cc
@@ -13,6 +13,8 @@
 constexpr size_t kEditIdBytes = 16;
 // Attempts to learn what became of an edit whose answer was lost.
 constexpr int kAttempts = 5;
+// Edits of others that a conflict names.
+constexpr int64_t kShownConflicts = 20;
 
 std::string Now() {
   return fmt::format("{:%Y-%m-%dT%H:%M:%SZ}",
@@ -41,6 +43,28 @@
   });
 }
 
+std::string AuditLines(const std::vector<audit_row>& rows) {
+  std::string text;
+  for (const audit_row& row : rows) {
+    text += fmt::format("\nversion {}: {} at {}: {}", row.to, row.writer,
+                        row.time, fmt::join(row.change, ", "));
+  }
+  return text;
+}
+
+// Lowest version that a row of the edit is based on; 0: none names one.
+int64_t LowestBase(const edit_change& change) {
+  int64_t lowest = 0;
+  const auto take = [&lowest](const auto& row) {
+    if (row.version != 0 && (lowest == 0 || row.version < lowest)) {
+      lowest = row.version;
+    }
+  };
+  std::for_each(change.routes.begin(), change.routes.end(), take);
+  std::for_each(change.pools.begin(), change.pools.end(), take);
+  return lowest;
+}
+
 failure Conflict(const edit_plan& plan,
                  const txn_answer& answer,
                  const std::vector<audit_row>& later) {
@@ -53,11 +77,7 @@
           fmt::format("; it is version {} of {}", now->version, now->writer);
     }
   }
-  for (const audit_row& row : later) {
-    text += fmt::format("\nversion {}: {} at {}: {}", row.to, row.writer,
-                        row.time, fmt::join(row.change, ", "));
-  }
-  return {result_code::kVersionConflict, text};
+  return {result_code::kVersionConflict, text + AuditLines(later)};
 }
 
 }  // namespace
@@ -108,7 +128,12 @@
   }
   const auto plan = PlanEdit(base, change, {std::string(writer), Now(), edit});
   if (!plan) {
-    return plan.error();
+    failure refused = plan.error();
+    if (refused.code == result_code::kVersionConflict) {
+      const auto later = ReadAudit(LowestBase(change) + 1, kShownConflicts);
+      refused.reason += later ? AuditLines(*later) : "";
+    }
+    return refused;
   }
   if (plan->audit.change.empty()) {
     const int64_t version = base.rows.value().version;
@@ -172,10 +197,15 @@
   if (!newest) {
     return newest.error();
   }
-  const int64_t first =
-      std::max<int64_t>(1, newest->version - std::max<int64_t>(last, 0) + 1);
+  return ReadAudit(
+      std::max<int64_t>(1, newest->version - std::max<int64_t>(last, 0) + 1),
+      0);
+}
+
+result<std::vector<audit_row>> configuration_store::ReadAudit(int64_t first,
+                                                              int64_t limit) {
   const auto rows =
-      store_.Range({AuditKey(first), PrefixEnd(kAuditPrefix), 0, 0});
+      store_.Range({AuditKey(first), PrefixEnd(kAuditPrefix), limit, 0});
   if (!rows) {
     return rows.error();
   }
--- a/src/store/edit.cc
+++ b/src/store/edit.cc
@@ -37,11 +37,21 @@
         continue;
       }
       const auto found = table.find(name);
-      if (found != table.end()) {
-        row.version = found->second.version;
-        if (row == found->second) {
-          continue;  // Unchanged.
-        }
+      const int64_t given = row.version;
+      const int64_t stored = found == table.end() ? 0 : found->second.version;
+      row.version = stored;
+      if (found != table.end() && row == found->second) {
+        continue;  // Unchanged.
+      }
+      // A row that names its version was made from a row that was read; what
+      // another operator wrote since must not be overwritten unseen.
+      if (given != 0 && given != stored) {
+        Fail(
+            result_code::kVersionConflict,
+            fmt::format("{}: the edit is based on version {}, but the row {}",
+                        Shown(key), given,
+                        stored == 0 ? "does not exist"
+                                    : fmt::format("is of version {}", stored)));
       }
       row.version = version_;
       std::string text = encode(row);
--- a/src/store/store_test.cc
+++ b/src/store/store_test.cc
@@ -169,6 +169,28 @@
   EXPECT_EQ(store.Load()->rows.value().pools.count("a"), 0U);
 }
 
+// Guards against an operator who overwrites a row that another one has changed
+// since it was read.
+TEST(EditTest, RowOfAnOlderVersionIsAConflict) {
+  memory_store memory;
+  configuration_store store(memory);
+  ASSERT_TRUE(store.Edit(PutPool(Pool("a")), "ana"));
+  const config::pool_row read = store.Load()->rows.value().pools.at("a");
+  config::pool_row bens = read;
+  bens.slots = 3;
+  ASSERT_TRUE(store.Edit(PutPool(bens), "ben"));
+  EXPECT_TRUE(store.Edit(PutPool(bens), "ben"));  // Changes nothing.
+  config::pool_row anas = read;
+  anas.slots = 4;
+  const failure lost = store.Edit(PutPool(anas), "ana").error();
+  EXPECT_EQ(lost.code, result_code::kVersionConflict);
+  EXPECT_NE(lost.reason.find("based on version 1, but the row is of version 2"),
+            std::string::npos);
+  EXPECT_NE(lost.reason.find("version 2: ben"), std::string::npos);
+  anas.version = 0;
+  EXPECT_TRUE(store.Edit(PutPool(anas), "ana"));
+}
+
 // Guards against a lost answer that is reported as a failure although the edit
 // took effect, or that makes the edit run twice.
 TEST(EditTest, LostAnswerIsResolvedByReadingBack) {
@@ -212,7 +234,16 @@
 TEST(EditTest, AuditTrailIsBounded) {
   memory_store memory;
   configuration_store store(memory);
-  for (int i = 0; i < 1003; ++i) {
+  // The rows of 998 earlier edits.
+  memory.rows[kVersionKey] = {
+      kVersionKey, EncodeVersion({998, "ana", "", ""}), 0, 998, 998, 0};
+  for (int64_t i = 1; i <= 998; ++i) {
+    memory.rows[AuditKey(i)] = {
+        AuditKey(i), EncodeAudit({i - 1, i, "ana", "", "", {}, ""}),
+        0,           i,
+        1,           0};
+  }
+  for (int i = 0; i < 5; ++i) {
     ASSERT_TRUE(store.Edit(PutPool(Pool("a", 1 + i % 2)), "ana"));
   }
   const auto audit = store.Audit(5000);
