--- a/src/store/connection.cc
+++ b/src/store/connection.cc
@@ -118,6 +118,9 @@
       std::string line = pending_.substr(0, end);
       pending_.erase(0, end + 1);
       scanned_ = 0;
+      if (line.empty()) {
+        continue;
+      }
       return line;
     }
     scanned_ = pending_.size();
--- a/src/store/connection.h
+++ b/src/store/connection.h
@@ -43,7 +43,8 @@
   /// @brief Receives the head of an answer that is a stream; gives its status.
   result<unsigned> ReceiveHead(time_point deadline);
 
-  /// @brief Next line of the stream, without its end; no time limit.
+  /// @brief Next line of the stream that is not empty, without its end; no time
+  /// limit.
   result<std::string> ReceiveLine();
 
   void Close();
