--- a/include/tarragondale/group.h
+++ b/include/tarragondale/group.h
@@ -120,10 +120,14 @@
   duration target_age = milliseconds(2000);
   /// How long a group without a serving primary is left to other coordinators.
   duration no_primary_wait = milliseconds(300);
-  /// A replica whose position and age show no progress for this time receives
-  /// nothing from its primary.
-  duration stall_limit = milliseconds(3000);
-  duration stall_pause = milliseconds(30000);  ///< Between stall failovers.
+  /// A replica receives nothing from its primary if for `stall_limit` its
+  /// position stays and its age is at least `stall_age`.
+  duration stall_age = milliseconds(1000);
+  duration stall_limit = milliseconds(2000);
+  /// Shortest time between two failovers for this reason. Doubles up to
+  /// `stall_pause_most`, since a new primary need not help.
+  duration stall_pause = milliseconds(4000);
+  duration stall_pause_most = milliseconds(64000);
   /// How long a replica with a promise that the primary lacks is left alone
   /// before the primary is promoted again with a higher term.
   duration heal_wait = milliseconds(5000);
--- a/src/fault_matrix/failover_scenario.cc
+++ b/src/fault_matrix/failover_scenario.cc
@@ -102,9 +102,9 @@
     }
   }
 
+  // A primary that is cut for a while may serve on when it is back.
   bool MustChange() const {
-    const auto name = Triggers()[plan_.trigger].name;
-    return name == "primary crashes" || name == "primary cut from all";
+    return Triggers()[plan_.trigger].name == "primary crashes";
   }
 
   bool Recovered() const {
--- a/src/fault_matrix/faults.cc
+++ b/src/fault_matrix/faults.cc
@@ -50,7 +50,7 @@
 void Forget(world& in, vm_host* vm) {
   in.sim.After(kDetection, [&in, vm] {
     if (!vm->alive() || vm->paused()) {
-      in.SetViews({vm->name()});
+      in.SetGone(vm->name(), true);
     }
   });
 }
@@ -61,7 +61,9 @@
   Forget(in, vm);
   return [&in, vm] {
     vm->Pause(false);
-    in.SetViews({});
+    if (vm->alive()) {
+      in.SetGone(vm->name(), false);
+    }
   };
 }
 
@@ -118,7 +120,7 @@
 undo AddCoordinator(world& in) {
   const vm_host* const first = in.CoordinatorVm();
   vm_host* second = nullptr;
-  std::vector<std::string> gone;
+  std::set<std::string> gone = in.gone();
   for (auto& vm : in.vms()) {
     if (second == nullptr && vm.get() != first && vm->alive()) {
       second = vm.get();
@@ -132,11 +134,11 @@
     const auto owner =
         fleet::PlaceRole(*view, fleet::CoordinatorRole(kGroup), {});
     if (owner && *owner != second->name()) {
-      gone.push_back(*owner);
+      gone.insert(*owner);
     }
   }
   second->SetView(in.View(second->name(), gone));
-  return [&in, second] { second->SetView(in.View(second->name(), {})); };
+  return [&in, second] { second->SetView(in.View(second->name(), in.gone())); };
 }
 
 undo Switchover(world& in) {
--- a/src/fault_matrix/world.cc
+++ b/src/fault_matrix/world.cc
@@ -44,7 +44,7 @@
   for (auto& [name, member] : members_) {
     member->Start(&by_address_);
   }
-  SetViews({});
+  SetViews();
   for (auto& vm : vms_) {
     vm->Start();
   }
@@ -158,12 +158,11 @@
 }
 
 fleet::fleet_view_ptr world::View(const std::string& self,
-                                  const std::vector<std::string>& gone) const {
+                                  const std::set<std::string>& gone) const {
   auto view = std::make_shared<fleet::fleet_view>();
   view->self = self;
   for (const auto& vm : vms_) {
-    if (std::find(gone.begin(), gone.end(), vm->name()) != gone.end() &&
-        vm->name() != self) {
+    if (gone.contains(vm->name()) && vm->name() != self) {
       continue;
     }
     wire::vm_record record;
@@ -177,9 +176,18 @@
   return view;
 }
 
-void world::SetViews(const std::vector<std::string>& gone) {
+void world::SetGone(const std::string& vm, bool gone) {
+  if (gone) {
+    gone_.insert(vm);
+  } else {
+    gone_.erase(vm);
+  }
+  SetViews();
+}
+
+void world::SetViews() {
   for (const auto& vm : vms_) {
-    vm->SetView(View(vm->name(), gone));
+    vm->SetView(View(vm->name(), gone_));
   }
 }
 
--- a/src/fault_matrix/world.h
+++ b/src/fault_matrix/world.h
@@ -62,10 +62,11 @@
   void CutMember(const std::string& member, bool cut);
   void CutFromMembers(const std::string& node, bool cut);
   void CutFromVms(const std::string& node, bool cut);
-  /// @brief Fleet views of all VMs without these VMs.
-  void SetViews(const std::vector<std::string>& gone);
+  /// @brief The fleet detects that a VM is gone, or that it is back.
+  void SetGone(const std::string& vm, bool gone);
   fleet::fleet_view_ptr View(const std::string& self,
-                             const std::vector<std::string>& gone) const;
+                             const std::set<std::string>& gone) const;
+  const std::set<std::string>& gone() const { return gone_; }
 
   /// @brief True if two members are alive, reach each other and can be reached.
   bool MajorityReachable();
@@ -82,10 +83,12 @@
 
  private:
   bool Usable(const fake_member& member) const;
+  void SetViews();
 
   std::map<std::string, std::unique_ptr<fake_member>> members_;
   std::map<std::string, fake_member*> by_address_;
   std::vector<std::unique_ptr<vm_host>> vms_;
+  std::set<std::string> gone_;  ///< VMs that the fleet knows to be gone.
   std::function<void(step)> observer_;
 };
 
--- a/src/group/attempt.cc
+++ b/src/group/attempt.cc
@@ -195,12 +195,12 @@
     }
   }
   const size_t members = knowledge_.members().size();
-  const size_t promised = attempt_->fenced.size();
+  const size_t promised = Promises();
   if (!attempt_->catching_up && HasFenceMajority(promised, members)) {
     if (!attempt_->majority_at) {
       attempt_->majority_at = now;
     }
-    if (promised == members ||
+    if (attempt_->fenced.size() == members ||
         now - *attempt_->majority_at >= timing().fence_grace) {
       BeginPromoting(now);
       return;
@@ -245,6 +245,11 @@
   }
 }
 
+size_t coordinator::implementation::Promises() const {
+  return attempt_->fenced.size() -
+         (attempt_->fenced.contains(attempt_->excluded) ? 1 : 0);
+}
+
 int coordinator::implementation::Preference(
     const config::member_row& row) const {
   const member_state* old = nullptr;
@@ -268,7 +273,8 @@
   std::vector<candidate> candidates;
   for (const member_state& member : knowledge_.members()) {
     const auto fenced = attempt_->fenced.find(member.row.name);
-    if (fenced == attempt_->fenced.end()) {
+    if (fenced == attempt_->fenced.end() ||
+        member.row.name == attempt_->excluded) {
       continue;
     }
     candidates.push_back({member.row.name,
--- a/src/group/coordinator_implementation.h
+++ b/src/group/coordinator_implementation.h
@@ -26,6 +26,10 @@
   std::string reason;
   std::string old_primary;  ///< Empty if none was known.
   std::string wanted;       ///< Target of a planned change; may be empty.
+  /// A member that must not become primary, because the replicas do not
+  /// receive its log. Its promise does not count either: the others must be a
+  /// majority by themselves, so that one of them holds each acknowledged write.
+  std::string excluded;
   bool planned = false;
   time_point started;
   time_point stage_started;
@@ -135,6 +139,7 @@
   void TakeFenceResult(time_point now, const call_result& ended);
   void TakePromoteResult(time_point now, const call_result& ended);
   void TakeFollowResult(time_point now, const call_result& ended);
+  size_t Promises() const;
   int Preference(const config::member_row& row) const;
 
   coordinator_options options_;
@@ -157,6 +162,7 @@
   time_point next_interest_;
   time_point next_leaving_;
   time_point next_stall_;
+  duration stall_pause_{0};  ///< The last one; 0 if there was none lately.
   std::optional<time_point> no_primary_since_;
   std::optional<time_point> unhealed_since_;
   time_point last_step_;
--- a/src/group/knowledge.cc
+++ b/src/group/knowledge.cc
@@ -56,7 +56,7 @@
   const bool progressed = !member.known ||
                           member.report.position != report.position ||
                           member.report.term != report.term ||
-                          report.age_ms < ToMs(timing_.stall_limit);
+                          report.age_ms < ToMs(timing_.stall_age);
   if (progressed) {
     member.stalled_since = now;
   }
--- a/src/group/watch.cc
+++ b/src/group/watch.cc
@@ -217,10 +217,15 @@
   if (stalled < Majority(members.size()) || now < next_stall_) {
     return false;
   }
-  next_stall_ = now + timing().stall_pause;
+  const bool lately = now - next_stall_ < timing().stall_pause_most;
+  stall_pause_ = lately && stall_pause_ > duration(0)
+                     ? std::min(stall_pause_ * 2, timing().stall_pause_most)
+                     : timing().stall_pause;
+  next_stall_ = now + stall_pause_;
   const std::string old_primary = serving.row.name;
   StartPlanned(now, serving, "", "the replicas receive nothing from it");
   attempt_->catching_up = false;
+  attempt_->excluded = old_primary;
   attempt_->planned = false;
   --counters_.planned;
   return true;
@@ -228,20 +233,26 @@
 
 bool coordinator::implementation::StartIfUnhealed(time_point now,
                                                   const member_state& serving) {
-  const auto& members = knowledge_.members();
-  const bool unhealed =
-      std::any_of(members.begin(), members.end(), [&](const auto& member) {
-        return knowledge_.Fresh(member, now) &&
-               member.report.promised_term > serving.report.term;
-      });
-  if (!unhealed) {
+  size_t above = 0;      // Members that can't follow.
+  size_t accepting = 0;  // Members that can acknowledge writes.
+  for (const member_state& member : knowledge_.members()) {
+    if (knowledge_.Fresh(member, now)) {
+      ++(member.report.promised_term > serving.report.term ? above : accepting);
+    }
+  }
+  if (above == 0) {
     unhealed_since_.reset();
     return false;
   }
+  // Without a majority that accepts its log the primary can't acknowledge
+  // writes, so this is as urgent as a missing primary.
+  const duration wait = accepting < Majority(knowledge_.members().size())
+                            ? timing().no_primary_wait
+                            : timing().heal_wait;
   if (!unhealed_since_) {
-    unhealed_since_ = now + Jitter(timing().heal_wait);
+    unhealed_since_ = now;
   }
-  if (now - *unhealed_since_ < timing().heal_wait) {
+  if (now - *unhealed_since_ < wait + Jitter(wait)) {
     return false;
   }
   unhealed_since_.reset();
