--- a/include/tarragondale/group.h
+++ b/include/tarragondale/group.h
@@ -118,8 +118,11 @@
   duration catch_up_limit = milliseconds(700);
   /// Planned: highest age of a target's data before the primary is fenced.
   duration target_age = milliseconds(2000);
-  /// How long a group without a serving primary is left to other coordinators.
+  /// How long a group without a serving primary is left to a coordinator that
+  /// seems at work, since a member holds a promise above all terms, and how
+  /// long otherwise, so that the status of all members can arrive.
   duration no_primary_wait = milliseconds(300);
+  duration first_status_wait = milliseconds(100);
   /// A replica receives nothing from its primary if for `stall_limit` its
   /// position stays and its age is at least `stall_age`.
   duration stall_age = milliseconds(1000);
--- a/src/fault_matrix/vm_host.cc
+++ b/src/fault_matrix/vm_host.cc
@@ -45,8 +45,13 @@
   });
 }
 
-void vm_host::RequestSwitchover() {
-  Deliver([this] { StepCoordinator(group::switchover_requested{}); });
+void vm_host::SetPool(const config::pool_row& pool) {
+  Deliver([this, pool] { StepCoordinator(group::pool_changed{pool}); });
+}
+
+void vm_host::RequestSwitchover(const std::string& target) {
+  Deliver(
+      [this, target] { StepCoordinator(group::switchover_requested{target}); });
 }
 
 void vm_host::Deliver(simulation::callback work) {
--- a/src/fault_matrix/vm_host.h
+++ b/src/fault_matrix/vm_host.h
@@ -22,7 +22,8 @@
 
   void Start();
   void SetView(fleet::fleet_view_ptr view);
-  void RequestSwitchover();
+  void SetPool(const config::pool_row& pool);
+  void RequestSwitchover(const std::string& target = "");
 
   /// @brief Runs `work` on this VM; later if it is paused, never if it died.
   void Deliver(simulation::callback work);
--- a/src/fault_matrix/world.cc
+++ b/src/fault_matrix/world.cc
@@ -94,6 +94,7 @@
 
 void world::Notice(const group::notice& what) {
   using kind = group::notice_kind;
+  notices.push_back(what);
   started += what.kind == kind::kStarted ? 1 : 0;
   cleared += what.kind == kind::kSuspicionCleared ? 1 : 0;
   static const bool trace = std::getenv("FAULT_MATRIX_TRACE") != nullptr;
@@ -176,6 +177,13 @@
   return view;
 }
 
+void world::SetPool(const config::pool_row& changed) {
+  pool = changed;
+  for (const auto& vm : vms_) {
+    vm->SetPool(changed);
+  }
+}
+
 void world::SetGone(const std::string& vm, bool gone) {
   if (gone) {
     gone_.insert(vm);
--- a/src/fault_matrix/world.h
+++ b/src/fault_matrix/world.h
@@ -62,6 +62,8 @@
   void CutMember(const std::string& member, bool cut);
   void CutFromMembers(const std::string& node, bool cut);
   void CutFromVms(const std::string& node, bool cut);
+  /// @brief Gives all VMs a new pool row.
+  void SetPool(const config::pool_row& changed);
   /// @brief The fleet detects that a VM is gone, or that it is back.
   void SetGone(const std::string& vm, bool gone);
   fleet::fleet_view_ptr View(const std::string& self,
@@ -78,7 +80,8 @@
   config::configuration_ptr configuration;
   uint64_t last_write = 0;
   bool crash_is_silent = true;  ///< Else connections are refused.
-  int started = 0;              ///< Failovers that began fencing.
+  std::vector<group::notice> notices;
+  int started = 0;  ///< Failovers that began fencing.
   int cleared = 0;
 
  private:
--- a/src/group/knowledge.cc
+++ b/src/group/knowledge.cc
@@ -108,6 +108,14 @@
       }));
 }
 
+size_t group_knowledge::PromisedAboveAllTerms() const {
+  int64_t served = 0;
+  for (const member_state& member : members_) {
+    served = std::max(served, member.report.term);
+  }
+  return PromisedAbove(served);
+}
+
 int64_t group_knowledge::HighestTerm() const {
   int64_t highest = 0;
   for (const member_state& member : members_) {
--- a/src/group/knowledge.h
+++ b/src/group/knowledge.h
@@ -55,6 +55,10 @@
   /// @brief Highest term or promise seen at any member.
   int64_t HighestTerm() const;
 
+  /// @brief Members with a promise above the terms of all members: the traces
+  /// of a failover that is at work or was not finished.
+  size_t PromisedAboveAllTerms() const;
+
   /// @brief Coordinator of `term` if known, else empty.
   std::string CoordinatorOf(int64_t term) const {
     return term == coordinator_term_ ? coordinator_ : std::string();
--- a/src/group/watch.cc
+++ b/src/group/watch.cc
@@ -103,11 +103,14 @@
 }
 
 bool coordinator::implementation::StartIfNoPrimary(time_point now) {
+  const size_t above = knowledge_.PromisedAboveAllTerms();
+  const duration wait =
+      above > 0 ? timing().no_primary_wait : timing().first_status_wait;
   if (!no_primary_since_) {
-    no_primary_since_ =
-        now + timing().no_primary_wait + Jitter(timing().no_primary_wait);
+    no_primary_since_ = now;
   }
-  if (now < *no_primary_since_ || now < no_start_before_) {
+  if (now - *no_primary_since_ < wait + Jitter(wait) ||
+      now < no_start_before_) {
     return false;
   }
   std::vector<std::string> missing;
@@ -120,7 +123,13 @@
       Majority(knowledge_.members().size())) {
     return false;
   }
-  Suspect(now, "", missing, "no member serves as primary");
+  // A majority with a promise above all terms accepts no log, so whether the
+  // missing members can be reached makes no difference.
+  if (above >= Majority(knowledge_.members().size())) {
+    Suspect(now, "", {}, "an earlier failover did not finish");
+  } else {
+    Suspect(now, "", missing, "no member serves as primary");
+  }
   return true;
 }
 
