--- /dev/null
+++ b/examples/demo/schema.sql
@@ -0,0 +1,1 @@
+CREATE TABLE orders(id TEXT NOT NULL, item TEXT NOT NULL);
--- a/src/group/knowledge.cc
+++ b/src/group/knowledge.cc
@@ -56,7 +56,7 @@
   const bool progressed = !member.known ||
                           member.report.position != report.position ||
                           member.report.term != report.term ||
-                          report.age_ms < ToMs(timing_.stall_limit);
+                          report.age_ms < ToMs(timing_.stall_age);
   if (progressed) {
     member.stalled_since = now;
   }
@@ -108,6 +108,14 @@
       }));
 }
 
+size_t group_knowledge::PromisedAboveAllTerms() const {
+  int64_t served = 0;
+  for (const member_state& member : members_) {
+    served = std::max(served, member.report.term);
+  }
+  return PromisedAbove(served);
+}
+
 int64_t group_knowledge::HighestTerm() const {
   int64_t highest = 0;
   for (const member_state& member : members_) {
