--- a/src/standin/control.cc
+++ b/src/standin/control.cc
@@ -18,8 +18,8 @@
   std::string message;
 };
 
-[[noreturn]] void Fail(std::string message, int status = kBadRequest) {
-  throw control_error{status, std::move(message)};
+[[noreturn]] void Fail(const std::string& message, int status = kBadRequest) {
+  throw control_error{status, message};
 }
 
 int64_t Number(const json& body,
--- a/src/standin/endpoint.cc
+++ b/src/standin/endpoint.cc
@@ -48,7 +48,10 @@
   const tcp::endpoint address(net::ip::make_address(host_), port);
   acceptor_ = std::make_shared<tcp::acceptor>(loop_.context(), address,
                                               /*reuse_addr=*/true);
-  port_ = acceptor_->local_endpoint().port();
+  if (port_ == 0) {
+    // Written once, since other threads may read it.
+    port_ = acceptor_->local_endpoint().port();
+  }
   loop_.Spawn(Accept(acceptor_));
 }
 
--- a/src/standin/key_value_service.cc
+++ b/src/standin/key_value_service.cc
@@ -28,10 +28,10 @@
   std::string message;
 };
 
-[[noreturn]] void Fail(std::string message,
+[[noreturn]] void Fail(const std::string& message,
                        int status = kBadRequest,
                        int code = kInvalidArgument) {
-  throw request_error{status, code, std::move(message)};
+  throw request_error{status, code, message};
 }
 
 [[noreturn]] void FailLeaseNotFound() {
