--- a/src/standin/sql.cc
+++ b/src/standin/sql.cc
@@ -117,6 +117,7 @@
 std::vector<sql_column> ColumnsOf(sqlite3_stmt* statement) {
   std::vector<sql_column> columns;
   const int count = sqlite3_column_count(statement);
+  columns.reserve(static_cast<size_t>(count));
   for (int i = 0; i < count; ++i) {
     columns.push_back(
         {sqlite3_column_name(statement, i),
@@ -226,7 +227,7 @@
 // First word of the statement, or of the statement after a WITH clause.
 std::string CommandWord(std::string_view text) {
   const auto words = LeadingWords(text, 1);
-  const std::string first = words.empty() ? "" : words[0];
+  std::string first = words.empty() ? "" : words[0];
   if (first != "WITH") {
     return first;
   }
