--- a/src/pool/connection_set.cc
+++ b/src/pool/connection_set.cc
@@ -66,6 +66,11 @@
   return found == connections_.end() ? nullptr : &found->second;
 }
 
+const connection* connection_set::Find(database::connection_id id) const {
+  const auto found = connections_.find(id);
+  return found == connections_.end() ? nullptr : &found->second;
+}
+
 connection* connection_set::FindFree() {
   // The most recently used connection goes first, so that others become idle
   // long enough to be closed.
--- a/src/pool/connection_set.h
+++ b/src/pool/connection_set.h
@@ -89,6 +89,7 @@
       const database::query_finished& answer);
 
   connection* Find(database::connection_id id);
+  const connection* Find(database::connection_id id) const;
   /// @brief An open work connection without a transaction; null: none.
   connection* FindFree();
   bool HasFree() const;
--- a/src/pool/member_gateway.cc
+++ b/src/pool/member_gateway.cc
@@ -574,6 +574,31 @@
   context_.actions.emplace_back(send_answer{item->sender, std::move(answer)});
 }
 
+// A whole request of which nothing took effect runs again on another
+// connection, so that an idle connection that broke unnoticed costs no refusal.
+// A read that had begun is repeated once only, as its statement may be the
+// reason why the connection did not answer.
+bool member_gateway::RunAgain(const transaction& lost) {
+  constexpr int kRepeatsUntouched = 3;
+  constexpr int kRepeatsOfReads = 1;
+  const pending_ptr& item = lost.running();
+  if (item == nullptr || item->answered || !IsWhole(item->request) ||
+      !serving() || monitor_.unreachable()) {
+    return false;
+  }
+  const bool read = item->request.kind == wire::request_kind::kRead;
+  const int limit = lost.untouched() ? kRepeatsUntouched
+                    : read           ? kRepeatsOfReads
+                                     : 0;
+  if (item->repeats >= limit) {
+    return false;
+  }
+  ++item->repeats;
+  item->stage = request_stage::kQueued;
+  released_.push_back(item);
+  return true;
+}
+
 // The connection is gone (`close` false) or is given up.
 void member_gateway::Lose(time_point now,
                           database::connection_id id,
@@ -600,8 +625,10 @@
   if (work != nullptr) {
     ReleaseKey(*work);
     const pending_ptr item = work->running();
-    if (auto result = work->OnLost()) {
-      Finish(now, item, std::move(*result));
+    if (!RunAgain(*work)) {
+      if (auto result = work->OnLost()) {
+        Finish(now, item, std::move(*result));
+      }
     }
     const auto entry = transactions_.find(work->origin().id);
     if (entry != transactions_.end() && entry->second.connection == id) {
@@ -761,9 +788,8 @@
     consider(deadlines_.begin()->first);
   }
   for (const auto& [id, entry] : transactions_) {
-    consider(entry.begun + options.transaction_total_limit);
-    if (entry.step->answered) {
-      consider(entry.last_used + options.transaction_idle_limit);
+    if (const auto expires = ExpiresAt(entry)) {
+      consider(*expires);
     }
   }
   const size_t count = connections_.Count(connection_use::kWork);
--- a/src/pool/member_gateway.h
+++ b/src/pool/member_gateway.h
@@ -92,6 +92,7 @@
   void Settle(time_point now, database::connection_id id);
   void Finish(time_point now, const pending_ptr& item, conclusion result);
   void Answer(const pending_ptr& item, conclusion result);
+  bool RunAgain(const transaction& lost);
   void ReleaseKey(const transaction& ended);
   void Lose(time_point now, database::connection_id id, bool close);
   connection* FindRunning(const pending_ptr& item);
@@ -108,6 +109,7 @@
                       result_code code,
                       const std::string& reason);
   void Bury(transaction_map::const_iterator entry, result_code code);
+  std::optional<time_point> ExpiresAt(const open_transaction& entry) const;
   void TouchTransaction(time_point now, const wire::execute_request& step);
   void FailEvidence(time_point now,
                     const pending_ptr& item,
--- a/src/pool/member_transactions.cc
+++ b/src/pool/member_transactions.cc
@@ -127,13 +127,27 @@
   OnTick(now);
 }
 
-void member_gateway::ExpireTransactions(time_point now) {
+// None once COMMIT was sent: the transaction then ends by its answer or by the
+// loss of its connection.
+std::optional<time_point> member_gateway::ExpiresAt(
+    const open_transaction& entry) const {
+  const connection* const target = connections_.Find(entry.connection);
+  if (target == nullptr || target->work->commit_sent()) {
+    return std::nullopt;
+  }
   const gateway_options& options = context_.options;
+  const time_point total = entry.begun + options.transaction_total_limit;
+  if (!entry.step->answered) {
+    return total;
+  }
+  return std::min(total, entry.last_used + options.transaction_idle_limit);
+}
+
+void member_gateway::ExpireTransactions(time_point now) {
   std::vector<request_id> expired;
   for (const auto& [id, entry] : transactions_) {
-    const bool idle = entry.step->answered &&
-                      now >= entry.last_used + options.transaction_idle_limit;
-    if (idle || now >= entry.begun + options.transaction_total_limit) {
+    const auto expires = ExpiresAt(entry);
+    if (expires && *expires <= now) {
       expired.push_back(id);
     }
   }
--- a/src/pool/pending_request.h
+++ b/src/pool/pending_request.h
@@ -19,6 +19,7 @@
   time_point deadline;
   time_point started;  ///< When it got its connection and slot.
   request_stage stage = request_stage::kQueued;
+  int repeats = 0;        ///< Times that it ran again after a lost connection.
   bool answered = false;  ///< An answer was sent; never send another.
 };
 
--- a/src/pool/transaction.cc
+++ b/src/pool/transaction.cc
@@ -275,6 +275,10 @@
 std::vector<planned_query> transaction::TakeQueries() {
   for (const planned_query& query : planned_) {
     in_flight_.push_back(query.purpose);
+    if (query.purpose == query_purpose::kStatement ||
+        query.purpose == query_purpose::kClaimKey) {
+      untouched_ = false;
+    }
     if (query.purpose == query_purpose::kCommit && writes()) {
       commit_sent_ = true;
     }
--- a/src/pool/transaction.h
+++ b/src/pool/transaction.h
@@ -95,6 +95,12 @@
   /// comes to.
   std::optional<conclusion> OnLost() const;
 
+  /// @brief COMMIT of a write was sent; nothing can stop it.
+  bool commit_sent() const { return commit_sent_; }
+
+  /// @brief No statement of the caller or of its idempotency record was sent.
+  bool untouched() const { return untouched_; }
+
   /// @brief Rolls back as soon as the queries in flight are answered. False if
   /// the commit was sent and can't be stopped.
   bool Abandon();
@@ -174,8 +180,7 @@
   size_t statements_left_ = 0;
   size_t result_bytes_ = 0;
   conclusion draft_;
-  bool abandoned_ = false;
-  bool begun_ = false;        // BEGIN succeeded and no end was answered.
+  bool untouched_ = true;
   bool commit_sent_ = false;  // Of a write: it may take effect from now on.
   bool clean_ = true;
   bool table_created_ = false;
--- a/src/runtime/database_driver_test.cc
+++ b/src/runtime/database_driver_test.cc
@@ -197,6 +197,7 @@
   std::vector<driver_event> events_;
 };
 
+// NOLINTNEXTLINE(readability-identifier-naming): the name of a test suite.
 class DatabaseDriverTest : public testing::Test {
  protected:
   DatabaseDriverTest() : client_(driver_.AddClient(log_.Callback())) {
