--- a/src/pool/member_control.cc
+++ b/src/pool/member_control.cc
@@ -188,6 +188,21 @@
 }
 
 void member_gateway::CheckSilence(time_point now) {
+  std::vector<database::connection_id> silent;
+  std::vector<database::connection_id> unopened;
+  for (const auto& [id, target] : connections_.all()) {
+    if (IsSilent(now, target) && target.use != connection_use::kCheck) {
+      if (target.open) {
+        silent.push_back(id);
+      } else if (target.use == connection_use::kWork) {
+        unopened.push_back(id);
+      }
+    }
+  }
+  for (const database::connection_id id : unopened) {
+    connections_.Close(id);
+    connections_.NoteFailure(now);
+  }
   if (connection* const check = FindUse(connection_use::kCheck)) {
     if (check->open && check->in_flight.empty()) {
       connections_.Send(now, *check, {kStatusSql, {}}, false,
@@ -198,22 +213,6 @@
     }
     return;
   }
-  std::vector<database::connection_id> silent;
-  std::vector<database::connection_id> unopened;
-  for (const auto& [id, target] : connections_.all()) {
-    if (!IsSilent(now, target)) {
-      continue;
-    }
-    if (target.open) {
-      silent.push_back(id);
-    } else if (target.use == connection_use::kWork) {
-      unopened.push_back(id);
-    }
-  }
-  for (const database::connection_id id : unopened) {
-    connections_.Close(id);
-    connections_.NoteFailure(now);
-  }
   if (silent.empty() || now < check_after_) {
     return;
   }
