--- a/src/ctl/ctl_test.cc
+++ b/src/ctl/ctl_test.cc
@@ -26,7 +26,7 @@
 
 // A file in the test's own folder.
 std::string Write(const std::string& name, const std::string& text) {
-  const std::string path = testing::TempDir() + "ctl_test_" + name;
+  std::string path = testing::TempDir() + "ctl_test_" + name;
   std::ofstream(path) << text;
   return path;
 }
--- a/src/ctl/session.cc
+++ b/src/ctl/session.cc
@@ -17,7 +17,7 @@
 constexpr milliseconds kPollInterval{200};
 constexpr unsigned kHttpOk = 200;
 
-std::string FirstLine(std::string text) {
+std::string FirstLine(const std::string& text) {
   return text.substr(0, text.find_first_of("\r\n"));
 }
 
