--- a/src/standin/test_clients.h
+++ b/src/standin/test_clients.h
@@ -83,6 +83,7 @@
   reply Run(const std::string& sql,
             const std::vector<std::string>& params = {}) {
     std::vector<const char*> values;
+    values.reserve(params.size());
     for (const std::string& param : params) {
       values.push_back(param == "<null>" ? nullptr : param.c_str());
     }
@@ -131,6 +132,7 @@
     }
     for (int row = 0; row < PQntuples(raw); ++row) {
       std::vector<std::string> cells;
+      cells.reserve(static_cast<size_t>(PQnfields(raw)));
       for (int column = 0; column < PQnfields(raw); ++column) {
         cells.emplace_back(PQgetisnull(raw, row, column) != 0
                                ? "<null>"
