--- a/src/standin/fault_test.cc
+++ b/src/standin/fault_test.cc
@@ -208,6 +208,26 @@
       400);
 }
 
+// Guards against a connection that is closed without the answer because the
+// client announced that this is its last request.
+TEST(StandinFaultTest, LastRequestOfAConnectionIsAnswered) {
+  server_options options;
+  options.vm_list_port = 0;
+  const auto parts = StartServer(options);
+  boost::asio::io_context context;
+  boost::asio::ip::tcp::socket socket(context);
+  socket.connect(
+      {boost::asio::ip::make_address("127.0.0.1"), parts->Port("vm_list")});
+  boost::asio::write(socket,
+                     boost::asio::buffer(std::string(
+                         "GET /v1/vms HTTP/1.1\r\nConnection: close\r\n\r\n")));
+  std::string answer;
+  boost::system::error_code error;
+  boost::asio::read(socket, boost::asio::dynamic_buffer(answer), error);
+  EXPECT_EQ(error, boost::asio::error::eof);
+  EXPECT_NE(answer.find("200 OK"), std::string::npos);
+}
+
 // Guards against a server that does not end while clients wait.
 TEST(StandinFaultTest, DestructionEndsWaitingClients) {
   server_options options;
--- a/src/standin/http_service.cc
+++ b/src/standin/http_service.cc
@@ -74,7 +74,8 @@
     const auto& message = parser.get();
     const http_request request{std::string(message.method_string()),
                                std::string(message.target()), message.body()};
-    keep = message.keep_alive() && co_await Answer(client, request);
+    const bool answered = co_await Answer(client, request);
+    keep = answered && message.keep_alive();
   }
 }
 
