--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -22,6 +22,7 @@
   if [ "${keep:-0}" = 1 ]; then echo "logs: $work"; else rm -rf "$work"; fi
 }
 trap cleanup EXIT
+trap 'keep=1; echo "demo: line $LINENO failed" >&2' ERR
 fail() {
   echo "demo: $*" >&2
   keep=1
@@ -104,10 +105,13 @@
   pids+=($!)
 done
 
-ctl=("$bin/tarragondalectl" --store "$store" --vm-list "http://$vm_list/v1/vms"
-  --operator demo --operator-key-file "$work/operator-key")
-"${ctl[@]}" apply "$work/tables.json" || fail "the tables were not accepted"
-key=$("${ctl[@]}" keys grant north-office --wait 2>"$work/grant.log") ||
+ctl() {
+  "$bin/tarragondalectl" "$@" --operator demo \
+    --operator-key-file "$work/operator-key"
+}
+fleet=(--store "$store" --vm-list "http://$vm_list/v1/vms")
+ctl apply "$work/tables.json" "${fleet[@]}" || fail "the tables were not accepted"
+key=$(ctl keys grant north-office --wait "${fleet[@]}" 2>"$work/grant.log") ||
   fail "the key was not granted: $(cat "$work/grant.log")"
 key=$(printf '%s\n' "$key" | grep -o '[A-Za-z0-9_-]*\.[A-Za-z0-9_-]*' | head -n 1)
 for i in 0 1 2; do
@@ -146,13 +150,14 @@
 
 send_order 0 first-order | tee "$work/first.json"
 grep -q '"outcome":"done"' "$work/first.json" || fail "the first order was not acknowledged"
+touch "$work/acknowledged.0" "$work/retries.0" "$work/given-up.0"
 worker_pids=()
 for w in $(seq 1 "$workers"); do
   worker "$w" &
   worker_pids+=($!)
 done
 
-count_acknowledged() { cat "$work"/acknowledged.* 2>/dev/null | wc -l; }
+count_acknowledged() { cat "$work"/acknowledged.* | wc -l; }
 has_orders() { [ "$(count_acknowledged)" -ge "$1" ]; }
 
 wait_for 60 has_orders 20 || fail "orders do not get through"
@@ -160,6 +165,7 @@
 kill -TERM "${daemon[0]}"
 wait_for 60 has_orders 60 || fail "orders stop after a graceful shutdown"
 echo "demo: killing vm-2 abruptly"
+disown "${daemon[1]}"
 kill -KILL "${daemon[1]}"
 wait_for 60 has_orders 100 || fail "orders stop after an abrupt death"
 echo "demo: cutting off the primary database orders-1"
@@ -168,19 +174,28 @@
 
 wait "${daemon[0]}" && graceful=0 || graceful=$?
 curl -sf -X POST "http://$control/v1/parts/orders-1/heal" -d '{}' >/dev/null
-"${ctl[@]}" --vms "${http[2]}" status || true
-
-primary=$(for m in orders-1 orders-2 orders-3; do
-  curl -s "http://$control/v1/parts/$m/status" | tr -d '\n '
-  echo " $m"
-done | grep '"primary"' | sed 's/.*"term":"\{0,1\}\([0-9]*\).* \(.*\)/\1 \2/' | sort -n | tail -n 1 | cut -d' ' -f2)
+ctl status --vms "${http[2]}"
+
+# Prints the member that serves as primary of the highest term.
+find_primary() {
+  local member row
+  for member in orders-1 orders-2 orders-3; do
+    # The row is "member, role, term, ...".
+    row=$(curl -s "http://$control/v1/parts/$member/status" | tr -d '\n "' |
+      sed 's/.*rows:\[\[//')
+    case "$row" in
+      "$member",primary,*) echo "$(printf %s "$row" | cut -d, -f3) $member" ;;
+    esac
+  done | sort -n | tail -n 1 | cut -d' ' -f2
+}
+primary=$(find_primary)
 curl -s -X POST "http://$control/v1/parts/$primary/select" \
   -d '{"sql": "SELECT id FROM orders"}' | grep -o 'order-[0-9]*-[0-9]*' | sort >"$work/stored"
 cat "$work"/acknowledged.* | sort >"$work/acknowledged"
 lost=$(comm -23 <(sort -u "$work/acknowledged") <(sort -u "$work/stored") | wc -l)
 doubled=$(uniq -d "$work/stored" | wc -l)
-given_up=$(cat "$work"/given-up.* 2>/dev/null | wc -l)
-retries=$(cat "$work"/retries.* 2>/dev/null | wc -l)
+given_up=$(cat "$work"/given-up.* | wc -l)
+retries=$(cat "$work"/retries.* | wc -l)
 cat <<REPORT
 demo: primary is $primary
 demo: $(wc -l <"$work/acknowledged") orders acknowledged, $(wc -l <"$work/stored") stored, $lost lost, $doubled doubled
