--- a/src/telemetry/registry.cc
+++ b/src/telemetry/registry.cc
@@ -13,13 +13,13 @@
 namespace tarragondale::telemetry {
 namespace {
 
-// One of the kinds of metrics; the index is the kind.
+// One of the kKinds of metrics; the index is the kind.
 using metric = std::variant<std::unique_ptr<counter>,
                             std::unique_ptr<gauge>,
                             std::unique_ptr<latency_histogram>>;
 
-constexpr std::array<std::string_view, 3> kinds = {"counter", "gauge",
-                                                   "histogram"};
+constexpr std::array<std::string_view, 3> kKinds = {"counter", "gauge",
+                                                    "histogram"};
 
 struct family {
   size_t kind = 0;
@@ -117,7 +117,7 @@
     std::string out;
     for (const auto& [name, all] : families_) {
       out += fmt::format("# HELP {} {}\n# TYPE {} {}\n", name,
-                         Escape(all.help, false), name, kinds[all.kind]);
+                         Escape(all.help, false), name, kKinds[all.kind]);
       for (const auto& [label_text, value] : all.series) {
         std::visit(writer{name, label_text, out}, value);
       }
@@ -132,7 +132,7 @@
     if (!all.full) {
       all.full = true;
       Log(log_level::kError, log_part::kMain,
-          "metric {} has two kinds or too many label sets", name);
+          "metric {} has two kKinds or too many label sets", name);
     }
     return std::get<T>(hidden_);
   }
