--- a/src/telemetry/registry.cc
+++ b/src/telemetry/registry.cc
@@ -13,7 +13,7 @@
 namespace tarragondale::telemetry {
 namespace {
 
-// One of the kKinds of metrics; the index is the kind.
+// One of the kinds of metrics; the index is the kind.
 using metric = std::variant<std::unique_ptr<counter>,
                             std::unique_ptr<gauge>,
                             std::unique_ptr<latency_histogram>>;
@@ -132,7 +132,7 @@
     if (!all.full) {
       all.full = true;
       Log(log_level::kError, log_part::kMain,
-          "metric {} has two kKinds or too many label sets", name);
+          "metric {} has two kinds or too many label sets", name);
     }
     return std::get<T>(hidden_);
   }
