Share the key check and the HTTP call; answer switchovers of other VMs' groups

The entry checked keys with a copy of config::VerifyBearer; it now calls it. tarragondalectl and the daemon's reader of the VM list share one HTTP call. POST /v1/admin/switchover takes the field 'member', as tarragondalectl sends it, and answers not_owner where another VM coordinates the group, so that the tool asks the next VM. Repeated trouble with the store is logged every 30 s.

It now carries the position of a status read after the statements. Test: PositionOfAReplicaAnswerIsAnUpperBound.

Statements of callers were cut after 500 ms to 2 s without an answer although only slow. The limits are now 2 s to 30 s; a broken connection still shows at BEGIN within 300 ms.

--- a/include/tarragondale/pool.h
+++ b/include/tarragondale/pool.h
@@ -89,8 +89,10 @@
   duration silence_floor = milliseconds(300);
   duration silence_ceiling = seconds(2);
   /// Floor for callers' statements, which legitimately run longer.
-  duration statement_silence_floor = milliseconds(500);
-  duration statement_silence_ceiling = seconds(2);
+  /// A broken connection shows at BEGIN, within the limit above; the limit for
+  /// statements only covers one that breaks while a statement runs.
+  duration statement_silence_floor = seconds(2);
+  duration statement_silence_ceiling = seconds(30);
   duration backoff_floor = milliseconds(50);  ///< After a failed connection.
   duration backoff_ceiling = milliseconds(500);
   duration evidence_interval_floor = milliseconds(1);
--- a/include/tarragondale/store.h
+++ b/include/tarragondale/store.h
@@ -6,6 +6,7 @@
 #include "tarragondale/store/client.h"
 #include "tarragondale/store/configuration_store.h"
 #include "tarragondale/store/follower.h"
+#include "tarragondale/store/http_call.h"
 #include "tarragondale/store/messages.h"
 
 #endif  // TARRAGONDALE_STORE_H_
--- a/src/ctl/session.cc
+++ b/src/ctl/session.cc
@@ -23,7 +23,7 @@
 
 // The failure in a VM's answer; VMs answer with the fields of
 // docs/result-codes.md.
-failure FailureOf(const std::string& address, const http_reply& reply) {
+failure FailureOf(const std::string& address, const store::http_reply& reply) {
   const json body = json::parse(reply.body, nullptr, false);
   if (body.is_object() && body.contains("code") &&
       body["code"].is_number_integer()) {
@@ -91,8 +91,8 @@
     return vms;
   }
   const auto url = config::ParseHttpUrl(given_.vm_list);
-  const auto reply =
-      CallHttp(url->address, "GET", url->path, "", "", given_.call_limit);
+  const auto reply = store::CallHttp(url->address, "GET", url->path, "", "",
+                                     given_.call_limit);
   if (!reply || reply->status != kHttpOk) {
     return failure{result_code::kGatewayUnreachable,
                    fmt::format("list of VMs: {}",
@@ -110,8 +110,8 @@
   if (!key) {
     return key.error();
   }
-  const auto reply =
-      CallHttp(address, method, path, FirstLine(*key), body, given_.call_limit);
+  const auto reply = store::CallHttp(address, method, path, FirstLine(*key),
+                                     body, given_.call_limit);
   if (!reply) {
     return reply.error();
   }
--- a/src/ctl/vms.h
+++ b/src/ctl/vms.h
@@ -10,20 +10,6 @@
 
 namespace tarragondale::ctl {
 
-struct http_reply {
-  unsigned status = 0;
-  std::string body;
-};
-
-/// @brief One HTTP call. Failures: `gateway_unreachable` if nothing was sent,
-/// `unknown_connection_lost` if the call may have arrived.
-result<http_reply> CallHttp(const std::string& address,
-                            const std::string& method,
-                            const std::string& path,
-                            const std::string& bearer,
-                            const std::string& body,
-                            milliseconds limit);
-
 /// @brief Entry of the list of VMs.
 struct listed_vm {
   std::string name;
--- a/src/entry/access_check.cc
+++ b/src/entry/access_check.cc
@@ -4,26 +4,6 @@
 namespace tarragondale::entry {
 namespace {
 
-// Stands in for the record of an unknown key id.
-const config::key_record& UnknownKey() {
-  static const config::key_record record = {
-      .id = {},
-      .organisation = {},
-      .salt = HexEncode(std::string(16, '\0')),
-      .digest = HexEncode(std::string(32, '\0')),
-      .version = 0};
-  return record;
-}
-
-bool SecretMatches(const config::key_record& record, std::string_view secret) {
-  const std::optional<std::string> salt = HexDecode(record.salt);
-  const std::optional<std::string> digest = HexDecode(record.digest);
-  if (!salt || !digest) {
-    return false;
-  }
-  return EqualConstantTime(Sha256(*salt + std::string(secret)), *digest);
-}
-
 failure Forbidden() {
   return {result_code::kRouteForbidden,
           "the key's organisation may not use this route"};
@@ -46,25 +26,6 @@
 
 }  // namespace
 
-result<const config::key_record*> VerifyKey(
-    const config::configuration& configuration,
-    std::string_view bearer) {
-  const size_t dot = bearer.find('.');
-  const bool well_formed = dot != std::string_view::npos;
-  const std::string_view id = well_formed ? bearer.substr(0, dot) : bearer;
-  const std::string_view secret =
-      well_formed ? bearer.substr(dot + 1) : std::string_view();
-  const auto found = configuration.keys.find(id);
-  const bool known = found != configuration.keys.end();
-  const config::key_record& record = known ? found->second : UnknownKey();
-  const bool matches = SecretMatches(record, secret);
-  if (!well_formed || !known || !matches) {
-    return failure{result_code::kKeyInvalid,
-                   "the key is unknown, wrong or withdrawn"};
-  }
-  return &record;
-}
-
 result<access_grant> CheckAccess(const config::configuration& configuration,
                                  bool current,
                                  std::string_view route,
@@ -82,11 +43,8 @@
   if (!current) {
     return Stale();
   }
-  if (!bearer) {
-    return failure{result_code::kKeyMissing, "the route needs a key"};
-  }
   const result<const config::key_record*> key =
-      VerifyKey(configuration, *bearer);
+      config::VerifyBearer(configuration, bearer);
   if (!key) {
     return key.error();
   }
--- a/src/entry/access_check.h
+++ b/src/entry/access_check.h
@@ -12,14 +12,6 @@
 
 namespace tarragondale::entry {
 
-/// @brief The key record that `bearer` (`<key id>.<secret>`) proves.
-///
-/// Takes the same time for an unknown key id and a wrong secret, so that key
-/// ids can't be found out by timing. Failure `key_invalid`.
-result<const config::key_record*> VerifyKey(
-    const config::configuration& configuration,
-    std::string_view bearer);
-
 /// @brief On whose behalf a request runs. Kept with the request and checked
 /// again against each later configuration; holds no secret.
 struct access_grant {
--- a/src/entry/entry_benchmark.cc
+++ b/src/entry/entry_benchmark.cc
@@ -76,7 +76,7 @@
   const config::configuration c = TestConfiguration();
   const std::string bearer = std::string("k1.") + kSecret;
   while (state.KeepRunning()) {
-    benchmark::DoNotOptimize(VerifyKey(c, bearer));
+    benchmark::DoNotOptimize(config::VerifyBearer(c, bearer));
   }
 }
 
--- a/src/pool/pool_test.cc
+++ b/src/pool/pool_test.cc
@@ -154,6 +154,22 @@
   EXPECT_EQ(f.Ask(young).code, kNoFreshReplica);
 }
 
+// Guards against a session that reads older data at another member next: the
+// replica applied entries between the status and the statement.
+TEST(GatewayReadTest, PositionOfAReplicaAnswerIsAnUpperBound) {
+  gateway_fixture f;
+  f.member.role = wire::member_role::kReplica;
+  f.RunFor(milliseconds(200));
+  const request_id id =
+      f.Send(f.Request(wire::request_kind::kRead, {"SLOW 50"}));
+  f.RunFor(milliseconds(20));
+  f.member.position = 15;
+  f.RunFor(milliseconds(200));
+  EXPECT_EQ(f.CodeOf(id), kOk);
+  EXPECT_EQ(f.answers[id].position, (log_position{3, 15}));
+  EXPECT_FALSE(f.answers[id].from_primary);
+}
+
 // Guards against a read that shows a write which a failover discards.
 TEST(GatewayReadTest, PrimaryReadWaitsForAMajority) {
   gateway_fixture f;
--- a/src/pool/transaction.cc
+++ b/src/pool/transaction.cc
@@ -218,12 +218,19 @@
   Plan(query_purpose::kBegin, "BEGIN READ ONLY");
   PlanStatements();
   Plan(query_purpose::kCommit, "COMMIT");
-  if (on_primary() && origin_.majority) {
+  if (ReadsPositionAfter()) {
     Plan(query_purpose::kStatusAfter, kStatusSql);
   }
   PlanReset(false);
 }
 
+// The answer must carry an upper bound of the position that the statements
+// saw; with a position from before the snapshot, the session could read older
+// data at another member next.
+bool transaction::ReadsPositionAfter() const {
+  return !on_primary() || origin_.majority;
+}
+
 // BEGIN is answered before anything else is sent: a statement behind a failed
 // BEGIN would commit by itself.
 void transaction::PlanWriteStart() {
@@ -489,10 +496,6 @@
     }
     return std::nullopt;
   }
-  if ((writes() || on_primary()) && running_->request.majority) {
-    Plan(query_purpose::kStatusAfter, kStatusSql);
-    return std::nullopt;
-  }
   if (options_.status) {
     int64_t age_ms = 0;
     IsFresh(origin_, *options_.status, now, age_ms);
@@ -500,6 +503,10 @@
     const wire::member_report& report = options_.status->report;
     draft_.position = {report.last_term, report.position};
   }
+  if (writes() ? running_->request.majority : ReadsPositionAfter()) {
+    Plan(query_purpose::kStatusAfter, kStatusSql);
+    return std::nullopt;
+  }
   draft_.from_primary = writes() || on_primary();
   return Conclude(std::move(draft_));
 }
@@ -526,7 +533,7 @@
     return std::nullopt;  // The position is still to come.
   }
   draft_.from_primary = on_primary();
-  if (whole() && on_primary() && origin_.majority) {
+  if (whole() && ReadsPositionAfter()) {
     return std::nullopt;
   }
   return Conclude(std::move(draft_));
@@ -564,13 +571,23 @@
     return Fail(result_code::kDatabaseUnavailable,
                 "the member's status can't be read");
   }
+  const log_position before = draft_.position;
   draft_.position = {report->last_term, report->position};
-  if (report->role != wire::member_role::kPrimary ||
-      draft_.position < running_->request.minimum) {
+  const bool from_replica = options_.status && options_.status->report.role ==
+                                                   wire::member_role::kReplica;
+  const auto expected =
+      from_replica ? wire::member_role::kReplica : wire::member_role::kPrimary;
+  // A replica that falls back has cut its log after a failover, and what the
+  // statements saw may be gone.
+  if (report->role != expected || draft_.position < running_->request.minimum ||
+      (from_replica && draft_.position < before)) {
     return Fail(
         writes() ? result_code::kNoPrimary : result_code::kNoFreshReplica,
         "the member was superseded during the request");
   }
+  if (from_replica) {
+    return Conclude(std::move(draft_));
+  }
   draft_.awaited = awaited_position{report->term, report->position};
   draft_.from_primary = true;
   return Conclude(std::move(draft_));
--- a/src/pool/transaction.h
+++ b/src/pool/transaction.h
@@ -165,6 +165,7 @@
   bool has_key() const { return !origin_.idempotency_key.empty(); }
   bool writes() const { return origin_.kind == wire::request_kind::kWrite; }
   bool whole() const { return origin_.step == wire::transaction_step::kWhole; }
+  bool ReadsPositionAfter() const;
   bool on_primary() const {
     return options_.status &&
            options_.status->report.role == wire::member_role::kPrimary;
--- a/src/runtime/control_duty.cc
+++ b/src/runtime/control_duty.cc
@@ -55,7 +55,7 @@
   if (now >= next_currency_) {
     next_currency_ = now + kCurrencyInterval;
     UpdateCurrency(now);
-    PublishStatus(now);
+    PublishStatus();
   }
 }
 
@@ -72,6 +72,11 @@
   return status_json_;
 }
 
+bool control_duty::Coordinates(const std::string& group) const {
+  const std::lock_guard lock(status_mutex_);
+  return coordinated_.contains(group);
+}
+
 bool control_duty::IsReady() const {
   const std::lock_guard lock(status_mutex_);
   return ready_;
@@ -101,12 +106,17 @@
 
 void control_duty::On(time_point now, const config::configuration_ptr& event) {
   configuration_ = event;
+  std::erase_if(reports_, [&](const auto& item) {
+    return std::none_of(
+        event->pools.begin(), event->pools.end(),
+        [&](const auto& pool) { return pool.second.group == item.first; });
+  });
   currency_.OnApplied(event->version);
   FeedReach(now, group::configuration_changed{event});
   FeedMembership(now, fleet::became_ready{});
   PlaceCoordinators(now);
   UpdateCurrency(now);
-  PublishStatus(now);
+  PublishStatus();
 }
 
 void control_duty::On(time_point now, const store_answered& event) {
@@ -134,7 +144,7 @@
 void control_duty::On(time_point now, const leave_requested& /*event*/) {
   leaving_ = true;
   FeedMembership(now, fleet::leave_started{});
-  PublishStatus(now);
+  PublishStatus();
 }
 
 void control_duty::On(time_point now, const database::driver_event& event) {
@@ -284,7 +294,7 @@
       notice.reason);
 }
 
-void control_duty::PublishStatus(time_point /*now*/) {
+void control_duty::PublishStatus() {
   using json = nlohmann::ordered_json;
   const wire::vm_record& self = membership_.self();
   json groups = json::array();
@@ -329,6 +339,10 @@
   const std::lock_guard lock(status_mutex_);
   status_json_ = body.dump() + "\n";
   ready_ = configuration_ != nullptr && !leaving_;
+  coordinated_.clear();
+  for (const auto& [group, coordinated] : coordinators_) {
+    coordinated_.insert(group);
+  }
 }
 
 }  // namespace tarragondale::runtime
--- a/src/runtime/control_duty.h
+++ b/src/runtime/control_duty.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -72,6 +73,9 @@
   /// @brief Body of `/v1/admin/status`. Thread-safe.
   std::string StatusJson() const;
 
+  /// @brief True if this VM coordinates the group. Thread-safe.
+  bool Coordinates(const std::string& group) const;
+
   /// @brief True if this VM serves: it has a configuration and is not leaving.
   /// Thread-safe.
   bool IsReady() const;
@@ -104,7 +108,7 @@
   void UpdateCurrency(time_point now);
   void SendTo(const std::string& vm, wire::message_body body);
   void LogNotice(const group::notice& notice) const;
-  void PublishStatus(time_point now);
+  void PublishStatus();
 
   const control_options options_;
   const control_outputs outputs_;
@@ -121,8 +125,9 @@
   // Newest report of each member of each group that reached this VM.
   std::map<std::string, std::map<std::string, wire::member_report>> reports_;
   mutable std::mutex status_mutex_;
-  std::string status_json_;  // Guarded by status_mutex_.
-  bool ready_ = false;       // Guarded by status_mutex_.
+  std::string status_json_;            // Guarded by status_mutex_.
+  bool ready_ = false;                 // Guarded by status_mutex_.
+  std::set<std::string> coordinated_;  // Guarded by status_mutex_.
 };
 
 }  // namespace tarragondale::runtime
--- a/src/runtime/daemon.cc
+++ b/src/runtime/daemon.cc
@@ -29,6 +29,7 @@
 constexpr duration kLinkSilence = seconds(2);
 constexpr duration kLinkIdle = seconds(60);
 constexpr duration kMaintainInterval = seconds(1);
+constexpr duration kRepeatedLogInterval = seconds(30);
 constexpr duration kMetricsInterval = milliseconds(500);
 // From the start of a drain until new work is refused: the balancer and the
 // other VMs learn meanwhile that this VM leaves.
@@ -126,7 +127,6 @@
     gateway_thread_.Start();
     control_thread_.Start();
     StartFollowing();
-    started_ = true;
     Log(log_level::kInfo, log_part::kMain,
         "VM {} serves callers on {} and VMs on {}.", settings_.vm_name,
         WithPort(settings_.http_address, http_.port()),
@@ -179,9 +179,8 @@
       PostGateway(pool::configuration_changed{configuration});
       PostControl(configuration);
     };
-    handlers.trouble = [](const failure& problem) {
-      Log(log_level::kWarning, log_part::kStore, "{}: {}.",
-          InfoOf(problem.code).name, problem.reason);
+    handlers.trouble = [this](const failure& problem) {
+      LogStoreTrouble(problem);
     };
     store::follower_options options;
     options.client.endpoints = settings_.store_endpoints;
@@ -198,6 +197,19 @@
     }
   }
 
+  // An outage repeats the same trouble each second; one line in a while is
+  // enough. Called on the follower's threads, one call at a time.
+  void LogStoreTrouble(const failure& problem) {
+    const time_point now = Now();
+    if (problem.code == last_trouble_ && now < next_trouble_log_) {
+      return;
+    }
+    last_trouble_ = problem.code;
+    next_trouble_log_ = now + kRepeatedLogInterval;
+    Log(log_level::kWarning, log_part::kStore, "{}: {}.",
+        InfoOf(problem.code).name, problem.reason);
+  }
+
   // --- Rings ---
 
   void PostEntry(entry::event event) {
@@ -448,7 +460,8 @@
     handlers.status = [this] { return control_->StatusJson(); };
     handlers.drain = [this] { StartDrain(); };
     handlers.switchover = [this](switchover_request request) {
-      PostControl(std::move(request));
+      return control_->Coordinates(request.group) &&
+             PostControl(std::move(request));
     };
     return handlers;
   }
@@ -461,7 +474,8 @@
   std::atomic<time_point> drain_at_{time_point::max()};
   std::atomic<bool> entry_drained_{false};
   std::atomic<bool> gateway_drained_{false};
-  bool started_ = false;
+  result_code last_trouble_ = result_code::kOk;
+  time_point next_trouble_log_;
 
   peer_transport transport_;
   entry::request_router router_;
--- a/src/runtime/http_server.h
+++ b/src/runtime/http_server.h
@@ -36,7 +36,8 @@
   std::function<std::string()> metrics;  ///< Prometheus text.
   std::function<std::string()> status;   ///< JSON for `/v1/admin/status`.
   std::function<void()> drain;
-  std::function<void(switchover_request)> switchover;
+  /// Starts a switchover; false if another VM coordinates the group.
+  std::function<bool(switchover_request)> switchover;
 };
 
 /// @brief Counters of the front end.
--- a/src/runtime/http_server_test.cc
+++ b/src/runtime/http_server_test.cc
@@ -90,7 +90,8 @@
     handlers.status = [] { return std::string("{}\n"); };
     handlers.drain = [this] { drains_.TryPush(1); };
     handlers.switchover = [this](switchover_request request) {
-      switchovers_.TryPush(std::move(request));
+      return request.group == "orders" &&
+             switchovers_.TryPush(std::move(request));
     };
     server_ = std::make_unique<http_server>(options, std::move(handlers));
     ASSERT_FALSE(server_->Start());
@@ -291,6 +292,9 @@
                    fmt::format("Authorization: Bearer {}\r\n", kOperatorKey)));
   EXPECT_NE(client.ReadAnswer().find("202"), std::string::npos);
   EXPECT_EQ(switchovers_.TryPop()->group, "orders");
+  ExpectRefusal(Post("/v1/admin/switchover", R"({"group": "proofs"})",
+                     fmt::format("Authorization: Bearer {}\r\n", kOperatorKey)),
+                result_code::kNotOwner);
 }
 
 }  // namespace
--- a/src/runtime/http_session.cc
+++ b/src/runtime/http_session.cc
@@ -275,7 +275,10 @@
     Refuse(decoded.error(), false);
     return;
   }
-  shared_.handlers.switchover(std::move(*decoded));
+  if (!shared_.handlers.switchover(std::move(*decoded))) {
+    Refuse({result_code::kNotOwner, "another VM coordinates the group"}, false);
+    return;
+  }
   Write({202, "application/json", {}, "{\"accepted\": true}\n"}, false);
 }
 
--- a/src/runtime/request_decoder.cc
+++ b/src/runtime/request_decoder.cc
@@ -364,9 +364,9 @@
   }
   switchover_request decoded;
   for (const auto& [name, value] : parsed->items()) {
-    std::string* const out = name == "group" ? &decoded.group
-                             : name == "to"  ? &decoded.target
-                                             : nullptr;
+    std::string* const out = name == "group"    ? &decoded.group
+                             : name == "member" ? &decoded.target
+                                                : nullptr;
     if (out == nullptr) {
       return Invalid("the body has no field " + name);
     }
--- a/src/runtime/vm_list_reader.cc
+++ b/src/runtime/vm_list_reader.cc
@@ -1,25 +1,15 @@
 // Reads the platform's list of VMs over HTTP.
 #include "src/runtime/vm_list_reader.h"
 
-#include <boost/asio/io_context.hpp>
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
-
 #include <nlohmann/json.hpp>
 
+#include "tarragondale/store.h"
+
 namespace tarragondale::runtime {
 namespace {
 
-namespace asio = boost::asio;
-namespace beast = boost::beast;
-namespace http = boost::beast::http;
-
-constexpr duration kCallLimit = seconds(2);
-constexpr unsigned kHttpVersion = 11;
-
-failure Unavailable(const beast::error_code& error) {
-  return {result_code::kStoreUnavailable, error.message()};
-}
+constexpr milliseconds kCallLimit{2000};
+constexpr unsigned kHttpOk = 200;
 
 }  // namespace
 
@@ -100,48 +90,16 @@
 }
 
 result<std::string> vm_list_reader::Fetch() const {
-  const size_t colon = address_.rfind(':');
-  beast::error_code error;
-  const auto ip = asio::ip::make_address(address_.substr(0, colon), error);
-  if (error || colon == std::string::npos) {
-    return failure{result_code::kSettingInvalid, "bad address " + address_};
-  }
-  const auto port =
-      static_cast<uint16_t>(std::stoi(address_.substr(colon + 1)));
-  asio::io_context context;
-  beast::tcp_stream stream(context);
-  http::request<http::empty_body> request(http::verb::get, path_, kHttpVersion);
-  request.set(http::field::host, address_);
-  beast::flat_buffer buffer;
-  http::response<http::string_body> response;
-  error = asio::error::timed_out;
-  // A chain of asynchronous calls, because only these take a time limit.
-  stream.expires_after(kCallLimit);
-  stream.async_connect({ip, port}, [&](const beast::error_code& connected) {
-    error = connected;
-    if (connected) {
-      return;
-    }
-    http::async_write(
-        stream, request, [&](const beast::error_code& written, size_t) {
-          error = written;
-          if (!written) {
-            http::async_read(
-                stream, buffer, response,
-                [&](const beast::error_code& read, size_t) { error = read; });
-          }
-        });
-  });
-  context.run();
-  if (error) {
-    return Unavailable(error);
+  auto reply = store::CallHttp(address_, "GET", path_, "", "", kCallLimit);
+  if (!reply) {
+    return reply.error();
   }
-  if (response.result() != http::status::ok) {
-    return failure{result_code::kStoreUnavailable,
-                   "the service answers with status " +
-                       std::to_string(response.result_int())};
+  if (reply->status != kHttpOk) {
+    return failure{
+        result_code::kStoreUnavailable,
+        "the service answers with status " + std::to_string(reply->status)};
   }
-  return std::move(response.body());
+  return std::move(reply->body);
 }
 
 }  // namespace tarragondale::runtime
--- a/src/ctl/http_call.cc
+++ b/src/store/http_call.cc
@@ -1,4 +1,6 @@
 // HTTP call with a time limit by Boost.Beast.
+#include "tarragondale/store/http_call.h"
+
 #include <fmt/format.h>
 
 #include <boost/asio/io_context.hpp>
@@ -7,9 +9,7 @@
 #include <boost/beast/http.hpp>
 #include <charconv>
 
-#include "src/ctl/vms.h"
-
-namespace tarragondale::ctl {
+namespace tarragondale::store {
 
 namespace net = boost::asio;
 namespace beast = boost::beast;
@@ -90,4 +90,4 @@
   return http_reply{parser.get().result_int(), parser.get().body()};
 }
 
-}  // namespace tarragondale::ctl
+}  // namespace tarragondale::store
