--- a/src/fault_matrix/fault_matrix_main.cc
+++ b/src/fault_matrix/fault_matrix_main.cc
@@ -31,7 +31,7 @@
   -h --help            Shows this text.
 )";
 
-const std::array kScenarios = {scenario{"failover", FailoverCells}};
+const std::array scenarios = {scenario{"failover", FailoverCells}};
 
 struct row_summary {
   size_t cells = 0;
@@ -104,7 +104,7 @@
       static_cast<int>(options.at("--pairs").asLong())};
   const std::string only = options.at("--only").asString();
   std::vector<cell> cells;
-  for (const scenario& path : kScenarios) {
+  for (const scenario& path : scenarios) {
     for (cell& made : path.cells(wanted)) {
       made.name.insert(0, path.name + ": ");
       made.row.insert(0, path.name + ": ");
--- a/src/fault_matrix/vm_host.cc
+++ b/src/fault_matrix/vm_host.cc
@@ -251,8 +251,8 @@
 }
 
 void vm_host::Rpc(fake_member& member,
-                  simulation::callback at_member,
-                  simulation::callback at_vm) {
+                  const simulation::callback& at_member,
+                  const simulation::callback& at_vm) {
   fake_member* const to = &member;
   world_.net.Send(name_, to->name(), [this, to, at_member, at_vm] {
     if (!to->alive()) {
--- a/src/fault_matrix/vm_host.h
+++ b/src/fault_matrix/vm_host.h
@@ -75,8 +75,8 @@
                         time_point deadline);
   void FinishWrite(const std::string& member);
   void Rpc(fake_member& member,
-           simulation::callback at_member,
-           simulation::callback at_vm);
+           const simulation::callback& at_member,
+           const simulation::callback& at_vm);
 
   world& world_;
   std::string name_;
