--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# Formatter, linter, build and all tests, then the tests again under
+# Formatter, linter, build, all tests, the models and the fault matrix with its
+# mutants, then the tests again under
 # AddressSanitizer with UBSan, and the threaded tests under ThreadSanitizer.
 # --quick stops before the sanitizers.
 set -euo pipefail
@@ -32,6 +33,8 @@
 configure_and_build build
 scripts/lint.sh build
 run_tests build
+scripts/model_check.sh
+scripts/fault_matrix.sh --build=build
 [ "${1:-}" = --quick ] && exit 0
 
 configure_and_build build-asan -DTARRAGONDALE_SANITIZE=address \
--- a/src/runtime/control_duty.cc
+++ b/src/runtime/control_duty.cc
@@ -198,7 +198,7 @@
                    std::get_if<group::send_interest>(&action)) {
       SendTo(interest->vm, std::move(interest->interest));
     } else if (auto* const notice = std::get_if<group::notice>(&action)) {
-      LogNotice(*notice);
+      outputs_.on_notice(*notice);
     }
   }
 }
@@ -284,16 +284,6 @@
   }
 }
 
-void control_duty::LogNotice(const group::notice& notice) const {
-  using kind = group::notice_kind;
-  const bool routine =
-      notice.kind == kind::kSuspicionCleared || notice.kind == kind::kSuspected;
-  Log(routine ? log_level::kInfo : log_level::kWarning, log_part::kControl,
-      "failover of group {}: {}; member {}, term {}; {}.", notice.group,
-      group::NoticeKindName(notice.kind), notice.member, notice.term,
-      notice.reason);
-}
-
 void control_duty::PublishStatus() {
   using json = nlohmann::ordered_json;
   const wire::vm_record& self = membership_.self();
--- a/src/runtime/control_duty.h
+++ b/src/runtime/control_duty.h
@@ -53,6 +53,7 @@
   std::function<void(fleet::fleet_view_ptr)> publish_view;
   std::function<void(bool current)> publish_currency;
   std::function<bool(database::command)> command_database;
+  std::function<void(const group::notice&)> on_notice;
 };
 
 struct control_options {
@@ -107,7 +108,6 @@
   bool IsPlacedHere(const std::string& group) const;
   void UpdateCurrency(time_point now);
   void SendTo(const std::string& vm, wire::message_body body);
-  void LogNotice(const group::notice& notice) const;
   void PublishStatus();
 
   const control_options options_;
--- a/src/runtime/daemon.cc
+++ b/src/runtime/daemon.cc
@@ -1,5 +1,6 @@
 // Joins the threads of the daemon.
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <chrono>
 #include <random>
@@ -16,6 +17,7 @@
 #include "tarragondale/pool.h"
 #include "tarragondale/runtime.h"
 #include "tarragondale/store.h"
+#include "tarragondale/telemetry.h"
 
 namespace tarragondale::runtime {
 namespace {
@@ -389,28 +391,45 @@
   }
 
   control_outputs ControlOutputs() {
-    return {.send =
-                [this](std::string_view vm, std::string_view address,
-                       wire::message_body body) {
-                  if (vm == settings_.vm_name) {
-                    return Deliver(std::string(vm), std::move(body));
-                  }
-                  return transport_.Send(vm, address, std::move(body));
-                },
-            .publish_view =
-                [this](fleet::fleet_view_ptr view) {
-                  view_.store(view);
-                  PostEntry(entry::fleet_changed{view});
-                  PostGateway(pool::fleet_changed{view});
-                },
-            .publish_currency =
-                [this](bool current) {
-                  PostEntry(entry::currency_changed{current});
-                },
-            .command_database =
-                [this](database::command command) {
-                  return CommandDatabase(control_client_, std::move(command));
-                }};
+    return {
+        .send =
+            [this](std::string_view vm, std::string_view address,
+                   wire::message_body body) {
+              if (vm == settings_.vm_name) {
+                return Deliver(std::string(vm), std::move(body));
+              }
+              return transport_.Send(vm, address, std::move(body));
+            },
+        .publish_view =
+            [this](fleet::fleet_view_ptr view) {
+              view_.store(view);
+              PostEntry(entry::fleet_changed{view});
+              PostGateway(pool::fleet_changed{view});
+            },
+        .publish_currency =
+            [this](bool current) {
+              PostEntry(entry::currency_changed{current});
+            },
+        .command_database =
+            [this](database::command command) {
+              return CommandDatabase(control_client_, std::move(command));
+            },
+        .on_notice = [this](const group::notice& notice) { OnNotice(notice); }};
+  }
+
+  void OnNotice(const group::notice& notice) {
+    using kind = group::notice_kind;
+    const std::string_view name = group::NoticeKindName(notice.kind);
+    registry_
+        .Counter("tarragondale_failover_notices_total",
+                 "Steps of failovers that this VM coordinated.",
+                 {{"kind", std::string(name)}})
+        .Add();
+    const bool routine = notice.kind == kind::kSuspicionCleared ||
+                         notice.kind == kind::kSuspected;
+    Log(routine ? log_level::kInfo : log_level::kWarning, log_part::kControl,
+        "failover of group {}: {}; member {}, term {}; {}.", notice.group, name,
+        notice.member, notice.term, notice.reason);
   }
 
   duty_thread<control_event>::functions ControlFunctions() {
@@ -453,9 +472,13 @@
     handlers.caller_gone = [this](uint64_t connection) {
       PostEntry(entry::caller_gone{connection});
     };
+    handlers.answered = [this](result_code code, duration span) {
+      answer_times_[static_cast<size_t>(InfoOf(code).result)]->Record(span);
+    };
     handlers.is_ready = [this] { return control_ && control_->IsReady(); };
     handlers.metrics = [this] {
-      return metrics_.Text(http_.metrics(), transport_.metrics());
+      return metrics_.Text(http_.metrics(), transport_.metrics()) +
+             registry_.PrometheusText();
     };
     handlers.status = [this] { return control_->StatusJson(); };
     handlers.drain = [this] { StartDrain(); };
@@ -466,10 +489,21 @@
     return handlers;
   }
 
+  telemetry::latency_histogram& AnswerTimes(outcome of) {
+    return registry_.Histogram("tarragondale_answer_seconds",
+                               "Time from a caller's request to its answer.",
+                               {{"outcome", std::string(OutcomeName(of))}});
+  }
+
   const config::settings settings_;
   const uint64_t origin_;
   std::atomic<std::shared_ptr<const fleet::fleet_view>> view_;
   metrics_text metrics_;
+  telemetry::registry registry_;
+  // Time to answer callers, by outcome.
+  const std::array<telemetry::latency_histogram*, 3> answer_times_ = {
+      &AnswerTimes(outcome::kDone), &AnswerTimes(outcome::kNotRun),
+      &AnswerTimes(outcome::kUnknown)};
   std::atomic<bool> draining_{false};
   std::atomic<time_point> drain_at_{time_point::max()};
   std::atomic<bool> entry_drained_{false};
--- a/src/runtime/http_server.h
+++ b/src/runtime/http_server.h
@@ -32,6 +32,8 @@
   /// Takes a request; false if there is no room (`overloaded`).
   std::function<bool(entry::caller_request)> submit;
   std::function<void(uint64_t connection)> caller_gone;
+  /// An answer of the entry is written, `span` after its request was read.
+  std::function<void(result_code code, duration span)> answered;
   std::function<bool()> is_ready;
   std::function<std::string()> metrics;  ///< Prometheus text.
   std::function<std::string()> status;   ///< JSON for `/v1/admin/status`.
--- a/src/runtime/http_server_test.cc
+++ b/src/runtime/http_server_test.cc
@@ -85,6 +85,7 @@
     handlers.caller_gone = [this](uint64_t connection) {
       gone_.TryPush(connection);
     };
+    handlers.answered = [](result_code, duration) {};
     handlers.is_ready = [] { return true; };
     handlers.metrics = [] { return std::string("up 1\n"); };
     handlers.status = [] { return std::string("{}\n"); };
--- a/src/runtime/http_session.cc
+++ b/src/runtime/http_session.cc
@@ -62,6 +62,9 @@
 
 void http_session::OnAnswer(const entry::answer_caller& answer) {
   if (state_ == state::kServing && answer.exchange == exchange_) {
+    shared_.handlers.answered(
+        answer.code, std::chrono::duration_cast<duration>(
+                         std::chrono::steady_clock::now() - served_since_));
     Write(EncodeAnswer(answer), false);
   }
 }
@@ -240,6 +243,7 @@
     return;
   }
   exchange_ = ++shared_.last_exchange;
+  served_since_ = std::chrono::steady_clock::now();
   shared_.exchanges.emplace(exchange_, connection_);
   decoded->connection = connection_;
   decoded->exchange = exchange_;
--- a/src/runtime/http_session.h
+++ b/src/runtime/http_session.h
@@ -103,6 +103,7 @@
   std::optional<response> response_;
   std::string linger_buffer_;
   uint64_t exchange_ = 0;
+  time_point served_since_;  // When the present request was read.
   uint64_t timer_generation_ = 0;
   state state_ = state::kIdle;
   bool wait_pending_ = false;  // A wait for readable data is in progress.
