--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -3,17 +3,27 @@
 # kills one daemon gracefully and one abruptly, cuts off the primary database,
 # and checks that every acknowledged order is in the database once. Ends all
 # processes that it started and exits non-zero on a violation.
-# Usage: scripts/demo.sh [--no-build]
+# Usage: scripts/demo.sh [--no-build] [--serve]
+# --serve starts the same system, prints a curl command for a first order and
+# runs for ten minutes or until it is interrupted.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-if [ "${1:-}" != --no-build ]; then
+build=1 serve=0 run_seconds=120
+for option in "$@"; do
+  case $option in
+    --no-build) build=0 ;;
+    --serve) serve=1 run_seconds=600 ;;
+    *) echo "unknown option $option" >&2; exit 2 ;;
+  esac
+done
+if [ "$build" = 1 ]; then
   bash scripts/dependencies.sh
   cmake -G Ninja -S . -B build >/dev/null
   ninja -C build tarragondaled tarragondalectl tarragondale-standin | tail -n 1
 fi
 
-readonly bin=$PWD/build/src run_seconds=120 workers=6 orders_per_worker=25
+readonly bin=$PWD/build/src workers=6 orders_per_worker=25
 work=$(mktemp -d)
 pids=()
 cleanup() {
@@ -29,10 +39,11 @@
   exit 1
 }
 
+# Ports below the range that the system gives to outgoing connections.
 free_port() {
   local port
   while :; do
-    port=$((20000 + RANDOM % 30000))
+    port=$((12000 + RANDOM % 20000))
     (exec 3<>"/dev/tcp/127.0.0.1/$port") 2>/dev/null || break
   done
   echo "$port"
@@ -104,6 +115,10 @@
   daemon[i]=$!
   pids+=($!)
 done
+for i in 0 1 2; do
+  wait_for 15 curl -sf "http://${http[i]}/healthz" ||
+    fail "vm-$((i + 1)) did not start: $(cat "$work/vm-$((i + 1)).log")"
+done
 
 ctl() {
   "$bin/tarragondalectl" "$@" --operator demo \
@@ -118,6 +133,23 @@
   wait_for 15 curl -sf "http://${http[i]}/readyz" || fail "vm-$((i + 1)) is not ready"
 done
 
+if [ "$serve" = 1 ]; then
+  cat <<HELP
+demo: three VMs serve callers on ${http[*]}.
+demo: send a first order with
+  curl -i http://${http[0]}/v1/execute -H 'Authorization: Bearer $key' \\
+    -H 'Idempotency-Key: my-first-order' -d '{"route": "orders", "kind": "write",
+    "statements": [{"sql": "INSERT INTO orders VALUES (\$1, \$2)", "params": ["o-1", "disc"]}]}'
+demo: and read it on another VM, with the token of that answer, with
+  curl -i http://${http[1]}/v1/execute -H 'Authorization: Bearer $key' \\
+    -H 'Tarragondale-Session: <token>' -d '{"route": "orders", "kind": "read",
+    "statements": [{"sql": "SELECT * FROM orders WHERE id = \$1", "params": ["o-1"]}]}'
+demo: faults are injected at http://$control (docs/standin.md); logs are in $work
+HELP
+  wait "${daemon[0]}" || true
+  exit 0
+fi
+
 # send_order VM ID: one attempt; prints the answer's body.
 send_order() {
   curl -s -m 8 -X POST "http://${http[$1]}/v1/execute" \
