--- a/include/tarragondale/fleet.h
+++ b/include/tarragondale/fleet.h
@@ -13,6 +13,7 @@
 #include <variant>
 #include <vector>
 
+#include "tarragondale/chart.h"
 #include "tarragondale/wire.h"
 
 namespace tarragondale::fleet {
@@ -156,8 +157,11 @@
   const membership_metrics& metrics() const { return metrics_; }
 
  private:
+  // Invariant: `record.state` is the state of `lifecycle`, which starts anew
+  // with each incarnation.
   struct peer {
     wire::vm_record record;
+    chart::machine<chart::vm_lifecycle> lifecycle;
     time_point state_since;  ///< When this VM learned the state.
     int sends_left = 0;      ///< Times that the record is gossiped yet.
   };
--- a/src/config/config_test.cc
+++ b/src/config/config_test.cc
@@ -26,7 +26,8 @@
 std::string GoodSettings() {
   return "[vm]\nname = vm-1\navailability_zone = kgn-a\nregion = kingston\n"
          "http_address = 127.0.0.1:8080\npeer_address = [::1]:8081\n"
-         "[store]\nendpoints = 127.0.0.1:1, 127.0.0.1:2 ; two\nregion = kingston\n"
+         "[store]\nendpoints = 127.0.0.1:1, 127.0.0.1:2 ; two\nregion = "
+         "kingston\n"
          "[vm_list]\nurl = http://127.0.0.1:9/vms\n"
          "[session]\ntoken_key = " +
          Digits() + "\n[admin]\noperator_key_digest = " + Digits() + "\n";
--- a/src/daemon/daemon_main.cc
+++ b/src/daemon/daemon_main.cc
@@ -72,16 +72,16 @@
     std::this_thread::sleep_for(kPollInterval);
   }
   const bool drained = (*daemon)->IsDrained();
-  Log(drained ? log_level::kInfo : log_level::kWarning, log_part::kMain,
-      "{}.", drained ? "shutdown is complete" : "shutdown cuts requests");
+  Log(drained ? log_level::kInfo : log_level::kWarning, log_part::kMain, "{}.",
+      drained ? "shutdown is complete" : "shutdown cuts requests");
   return drained ? kExitOk : kExitCut;
 }
 
 }  // namespace
 
 int main(int argc, char** argv) {
-  const auto arguments =
-      docopt::docopt(kUsage, {argv + 1, argv + argc}, true, "tarragondaled 0.1");
+  const auto arguments = docopt::docopt(kUsage, {argv + 1, argv + argc}, true,
+                                        "tarragondaled 0.1");
   const auto outcome =
       config::LoadSettings(arguments.at("--settings").asString());
   if (!SettingsAreValid(outcome)) {
--- a/src/fleet/membership.cc
+++ b/src/fleet/membership.cc
@@ -18,6 +18,24 @@
   return news.state > known.state;
 }
 
+// Event of the lifecycle chart that leads to a state.
+std::optional<chart::vm_lifecycle::event> EventTo(vm_state state) {
+  using enum chart::vm_lifecycle::event;
+  switch (state) {
+    case vm_state::kJoining:
+      return std::nullopt;
+    case vm_state::kAlive:
+      return kJoined;
+    case vm_state::kSuspect:
+      return kSilent;
+    case vm_state::kLeaving:
+      return kLeft;
+    case vm_state::kDead:
+      return kFailed;
+  }
+  return std::nullopt;
+}
+
 bool InService(const wire::vm_record& record) {
   return record.incarnation > 0 && (record.state == vm_state::kAlive ||
                                     record.state == vm_state::kSuspect ||
@@ -83,6 +101,7 @@
       added.record = seed;
       added.record.incarnation = 0;
       added.record.state = vm_state::kJoining;
+      added.lifecycle = {};
       added.state_since = now_;
     }
   }
@@ -144,8 +163,14 @@
     return;
   }
   ReplaceSameAddress(record);
+  const bool same_incarnation =
+      !added && record.incarnation == known.record.incarnation;
+  if (!same_incarnation) {
+    known.lifecycle = {};
+  }
   const vm_state state = record.state;
   known.record = record;
+  known.record.state = static_cast<vm_state>(known.lifecycle.state());
   SetState(known, state);
 }
 
@@ -181,7 +206,11 @@
 }
 
 void membership::SetState(peer& peer, vm_state state) {
-  peer.record.state = state;
+  const auto event = EventTo(state);
+  if (event && !peer.lifecycle.Fire(*event)) {
+    return;  // The chart has no such transition; the state stays.
+  }
+  peer.record.state = static_cast<vm_state>(peer.lifecycle.state());
   peer.state_since = now_;
   peer.sends_left = SendsForChange();
   view_dirty_ = true;
