--- a/src/pool/transaction.cc
+++ b/src/pool/transaction.cc
@@ -183,6 +183,7 @@
       }
       break;
     case kContinue:
+      Advance(chart_event::kExecute);
       PlanStatements();
       break;
     case kCommit:
@@ -190,7 +191,7 @@
       break;
     case kRollback:
       Plan(query_purpose::kRollback, "ROLLBACK");
-      PlanReset(false);
+      PlanReset(chart_event::kRollBack);
       break;
   }
 }
@@ -221,7 +222,7 @@
   if (ReadsPositionAfter()) {
     Plan(query_purpose::kStatusAfter, kStatusSql);
   }
-  PlanReset(false);
+  PlanReset(chart_event::kCommit);
 }
 
 // The answer must carry an upper bound of the position that the statements
@@ -261,18 +262,29 @@
   if (writes()) {
     Plan(query_purpose::kCommitPosition, kCommitPositionSql);
   }
-  PlanReset(false);
+  PlanReset(chart_event::kCommit);
 }
 
-void transaction::PlanReset(bool rollback) {
-  phase_ = phase::kEnding;
-  if (!ResetBeforeReuse()) {
-    return;
-  }
-  if (rollback) {
+void transaction::PlanRollback() {
+  if (ResetBeforeReuse()) {
     Plan(query_purpose::kRollback, "ROLLBACK");
   }
-  Plan(query_purpose::kDiscard, "DISCARD ALL");
+  PlanReset(chart_event::kRollBack);
+}
+
+void transaction::PlanReset(chart_event ending) {
+  Advance(ending);
+  if (ResetBeforeReuse()) {
+    Plan(query_purpose::kDiscard, "DISCARD ALL");
+  }
+}
+
+// A step that the chart does not allow means that the connection's state is
+// unknown, so the connection is not used again.
+void transaction::Advance(chart_event event) {
+  if (!chart_.Fire(event)) {
+    clean_ = false;
+  }
 }
 
 void transaction::Plan(query_purpose purpose, std::string sql) {
@@ -325,8 +337,8 @@
 
 std::optional<conclusion> transaction::Fail(result_code code,
                                             std::string reason) {
-  if (phase_ != phase::kEnding) {
-    PlanReset(true);
+  if (!ended()) {
+    PlanRollback();
   }
   conclusion failed;
   failed.code = code;
@@ -359,14 +371,14 @@
   }
   const auto report = database::ParseStatus(a.result);
   if (!a.sqlstate.empty() || !report) {
-    phase_ = phase::kEnding;
+    Advance(chart_event::kFail);
     clean_ = false;
     return Fail(result_code::kDatabaseUnavailable,
                 "the member's status can't be read");
   }
   options_.status->report = *report;
   if (!IsFresh(origin_, *options_.status, now, draft_.age_ms)) {
-    phase_ = phase::kEnding;  // Nothing ran, so nothing needs a reset.
+    Advance(chart_event::kFail);  // Nothing ran, so nothing needs a reset.
     return Fail(result_code::kNoFreshReplica,
                 "the member does not hold the requested position or age");
   }
@@ -388,14 +400,16 @@
     const database::query_finished& a) {
   if (!a.sqlstate.empty()) {
     clean_ = false;
-    phase_ = phase::kEnding;
+    if (!ended()) {
+      Advance(chart_event::kFail);
+    }
     planned_.clear();
     return FailQuery(a);
   }
-  if (!running_ || phase_ == phase::kEnding) {
+  if (!running_ || ended()) {
     return std::nullopt;  // A read's pipeline, or abandoned meanwhile.
   }
-  phase_ = phase::kOpen;
+  Advance(chart_event::kBegun);
   if (!whole()) {
     draft_.from_primary = writes() || on_primary();
     return Conclude(draft_);
@@ -406,6 +420,7 @@
                          {origin_.organisation, origin_.idempotency_key,
                           HexEncode(origin_.request_digest)}}});
   } else {
+    Advance(chart_event::kExecute);
     PlanStatements();
   }
   return std::nullopt;
@@ -428,16 +443,16 @@
     if (!a.sqlstate.empty()) {
       return FailQuery(a);
     }
+    Advance(chart_event::kExecute);
     PlanStatements();
     return std::nullopt;
   }
-  phase_ = phase::kEnding;
   Plan(query_purpose::kRollback, "ROLLBACK");
   planned_.push_back(
       {query_purpose::kReadKey,
        {kReadKeySql, {origin_.organisation, origin_.idempotency_key}}});
   Plan(query_purpose::kStatusAfter, kStatusSql);
-  PlanReset(false);
+  PlanReset(chart_event::kRollBack);
   return std::nullopt;
 }
 
@@ -508,6 +523,7 @@
     return std::nullopt;
   }
   draft_.from_primary = writes() || on_primary();
+  Advance(chart_event::kExecuted);
   return Conclude(std::move(draft_));
 }
 
@@ -529,6 +545,7 @@
     return Fail(result_code::kUnknownConnectionLost,
                 "COMMIT failed with " + a.sqlstate + ": " + a.message);
   }
+  Advance(chart_event::kCommitted);
   if (writes() || !running_) {
     return std::nullopt;  // The position is still to come.
   }
@@ -571,6 +588,9 @@
     return Fail(result_code::kDatabaseUnavailable,
                 "the member's status can't be read");
   }
+  if (!ended()) {
+    Advance(chart_event::kExecuted);
+  }
   const log_position before = draft_.position;
   draft_.position = {report->last_term, report->position};
   const bool from_replica = options_.status && options_.status->report.role ==
@@ -597,6 +617,7 @@
     time_point /*now*/,
     const database::query_finished& a) {
   clean_ = clean_ && a.sqlstate.empty();
+  Advance(chart_event::kRolledBack);
   if (running_ && running_->request.step == wire::transaction_step::kRollback) {
     return Conclude(std::move(draft_));
   }
@@ -639,8 +660,8 @@
   }
   running_ = nullptr;
   planned_.clear();
-  if (phase_ != phase::kEnding) {
-    PlanReset(true);
+  if (!ended()) {
+    PlanRollback();
   }
   return true;
 }
--- a/src/pool/transaction.h
+++ b/src/pool/transaction.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "src/pool/pending_request.h"
+#include "tarragondale/chart.h"
 
 namespace tarragondale::pool {
 
@@ -113,7 +114,7 @@
 
   /// @brief The transaction has ended and the connection may be reused after
   /// its queries are answered, if `clean`.
-  bool ended() const { return phase_ == phase::kEnding; }
+  bool ended() const { return chart_.state() >= chart_state::kCommitting; }
   bool clean() const { return clean_; }
   bool table_created() const { return table_created_; }
   bool table_missing() const { return table_missing_; }
@@ -122,7 +123,8 @@
   const std::string& owner_vm() const { return owner_vm_; }
 
  private:
-  enum class phase : uint8_t { kNew, kOpen, kCommitting, kEnding };
+  using chart_event = chart::transaction::event;
+  using chart_state = chart::transaction::state;
   using handler = std::optional<conclusion> (
       transaction::*)(time_point, const database::query_finished&);
 
@@ -156,7 +158,9 @@
   void PlanWholeRead();
   void PlanWriteStart();
   void PlanCommit();
-  void PlanReset(bool rollback);
+  void PlanRollback();
+  void PlanReset(chart_event ending);
+  void Advance(chart_event event);
   void StartRead(time_point now);
   std::optional<conclusion> Conclude(conclusion result);
   std::optional<conclusion> Fail(result_code code, std::string reason);
@@ -175,7 +179,7 @@
   wire::execute_request origin_;
   std::string owner_vm_;
   pending_ptr running_;
-  phase phase_ = phase::kNew;
+  chart::machine<chart::transaction> chart_;
   std::vector<planned_query> planned_;
   std::deque<query_purpose> in_flight_;
   size_t statements_left_ = 0;
