--- a/src/base/base_test.cc
+++ b/src/base/base_test.cc
@@ -101,10 +101,14 @@
   EXPECT_EQ(HexDecode("00ff"), std::string("\0\xFF", 2));
 }
 
-// Vector of RFC 4231, test case 2.
+// Vectors of RFC 4231, test cases 2 and 6 (a key longer than a block).
 TEST(DigestTest, HmacMatchesTheStandard) {
   EXPECT_EQ(HexEncode(HmacSha256("Jefe", "what do ya want for nothing?")),
             "5bdcc146bf60754e6a042426089575c75a003f089d2739839dec58b964ec3843");
+  EXPECT_EQ(HexEncode(HmacSha256(
+                std::string(131, '\xAA'),
+                "Test Using Larger Than Block-Size Key - Hash Key First")),
+            "60e431591ee0b67f0d8a26aacbf5b77f8e0bc6213728c5140546040f0ee37f54");
   EXPECT_EQ(HexEncode(Sha256("abc")),
             "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad");
   EXPECT_TRUE(EqualConstantTime("abc", "abc"));
--- a/src/base/digest.cc
+++ b/src/base/digest.cc
@@ -3,10 +3,11 @@
 
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
-#include <openssl/hmac.h>
 #include <openssl/rand.h>
 
+#include <algorithm>
 #include <array>
+#include <memory>
 #include <stdexcept>
 
 namespace tarragondale {
@@ -18,15 +19,45 @@
 constexpr std::string_view kStandardAlphabet =
     "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
 constexpr size_t kDigestBytes = 32;
-
-const unsigned char* Bytes(std::string_view data) {
-  return reinterpret_cast<const unsigned char*>(data.data());
-}
+constexpr size_t kBlockBytes = 64;
+constexpr unsigned char kInnerMask = 0x36;
+constexpr unsigned char kOuterMask = 0x5C;
 
 unsigned char* Bytes(std::string& data) {
   return reinterpret_cast<unsigned char*>(data.data());
 }
 
+// SHA-256 in steps. The algorithm is fetched once and the context belongs to
+// the thread, since OpenSSL 3 spends more time on both than on a short digest.
+class hasher {
+ public:
+  hasher& Begin() {
+    EVP_DigestInit_ex2(Context(), Algorithm(), nullptr);
+    return *this;
+  }
+  hasher& Add(std::string_view data) {
+    EVP_DigestUpdate(Context(), data.data(), data.size());
+    return *this;
+  }
+  void End(unsigned char* out) { EVP_DigestFinal_ex(Context(), out, nullptr); }
+
+ private:
+  struct free_context {
+    void operator()(EVP_MD_CTX* context) const { EVP_MD_CTX_free(context); }
+  };
+
+  static const EVP_MD* Algorithm() {
+    static const EVP_MD* const algorithm =
+        EVP_MD_fetch(nullptr, "SHA256", nullptr);
+    return algorithm;
+  }
+  static EVP_MD_CTX* Context() {
+    thread_local const std::unique_ptr<EVP_MD_CTX, free_context> context(
+        EVP_MD_CTX_new());
+    return context.get();
+  }
+};
+
 std::string EncodeBits(std::string_view bytes, std::string_view alphabet) {
   std::string text;
   text.reserve((bytes.size() * 4 + 2) / 3);
@@ -46,8 +77,23 @@
   return text;
 }
 
+// Value of each character in an alphabet, or -1.
+using decode_table = std::array<int8_t, 256>;
+
+constexpr decode_table MakeDecodeTable(std::string_view alphabet) {
+  decode_table table{};
+  table.fill(-1);
+  for (size_t i = 0; i < alphabet.size(); ++i) {
+    table[static_cast<unsigned char>(alphabet[i])] = static_cast<int8_t>(i);
+  }
+  return table;
+}
+
+constexpr decode_table kUrlTable = MakeDecodeTable(kUrlAlphabet);
+constexpr decode_table kStandardTable = MakeDecodeTable(kStandardAlphabet);
+
 std::optional<std::string> DecodeBits(std::string_view text,
-                                      std::string_view alphabet) {
+                                      const decode_table& table) {
   if (text.size() % 4 == 1) {
     return std::nullopt;
   }
@@ -56,8 +102,8 @@
   uint32_t buffer = 0;
   int bits = 0;
   for (const char c : text) {
-    const size_t value = alphabet.find(c);
-    if (value == std::string_view::npos) {
+    const int8_t value = table[static_cast<unsigned char>(c)];
+    if (value < 0) {
       return std::nullopt;
     }
     buffer = (buffer << 6) | static_cast<uint32_t>(value);
@@ -91,16 +137,31 @@
 
 std::string Sha256(std::string_view data) {
   std::string digest(kDigestBytes, '\0');
-  EVP_Digest(data.data(), data.size(), Bytes(digest), nullptr, EVP_sha256(),
-             nullptr);
+  hasher().Begin().Add(data).End(Bytes(digest));
   return digest;
 }
 
 std::string HmacSha256(std::string_view key, std::string_view data) {
+  // RFC 2104, section 2. Two plain digests are several times cheaper than
+  // OpenSSL's HMAC(), which looks its algorithms up in each call.
+  std::array<unsigned char, kBlockBytes> block{};
+  if (key.size() > kBlockBytes) {
+    const std::string short_key = Sha256(key);
+    std::copy(short_key.begin(), short_key.end(), block.begin());
+  } else {
+    std::copy(key.begin(), key.end(), block.begin());
+  }
+  const auto masked = [&](unsigned char mask) {
+    std::string text(kBlockBytes, '\0');
+    for (size_t i = 0; i < kBlockBytes; ++i) {
+      text[i] = static_cast<char>(block[i] ^ mask);
+    }
+    return text;
+  };
   std::string digest(kDigestBytes, '\0');
-  unsigned int length = kDigestBytes;
-  HMAC(EVP_sha256(), key.data(), static_cast<int>(key.size()), Bytes(data),
-       data.size(), Bytes(digest), &length);
+  hasher inner;
+  inner.Begin().Add(masked(kInnerMask)).Add(data).End(Bytes(digest));
+  inner.Begin().Add(masked(kOuterMask)).Add(digest).End(Bytes(digest));
   return digest;
 }
 
@@ -151,7 +212,7 @@
 }
 
 std::optional<std::string> Base64UrlDecode(std::string_view text) {
-  return DecodeBits(text, kUrlAlphabet);
+  return DecodeBits(text, kUrlTable);
 }
 
 std::string Base64Encode(std::string_view bytes) {
@@ -169,7 +230,7 @@
   if (text.size() - used > 2) {
     return std::nullopt;
   }
-  return DecodeBits(text.substr(0, used), kStandardAlphabet);
+  return DecodeBits(text.substr(0, used), kStandardTable);
 }
 
 }  // namespace tarragondale
