--- a/src/runtime/daemon.cc
+++ b/src/runtime/daemon.cc
@@ -84,7 +84,7 @@
   options.header_timeout = milliseconds(settings.header_timeout_ms);
   options.idle_timeout = milliseconds(settings.idle_timeout_ms);
   options.caller_connections = static_cast<size_t>(settings.caller_connections);
-  options.operator_key_digest = HexEncode(settings.operator_key_digest);
+  options.operator_key_digest = settings.operator_key_digest;
   return options;
 }
 
--- a/src/runtime/http_server.h
+++ b/src/runtime/http_server.h
@@ -23,7 +23,8 @@
   duration header_timeout = seconds(5);  ///< For a header, then for a body.
   duration idle_timeout = seconds(60);   ///< Between requests, and to write.
   size_t caller_connections = 10'000;
-  std::string operator_key_digest;  ///< SHA-256 in hex; empty: admin is off.
+  /// SHA-256 of the operator key, 32 raw bytes; empty: admin is off.
+  std::string operator_key_digest;
 };
 
 /// @brief What the front end needs of the daemon. All are called on the HTTP
--- a/src/runtime/http_server_test.cc
+++ b/src/runtime/http_server_test.cc
@@ -77,7 +77,7 @@
  protected:
   void StartServer(http_options options = {}) {
     options.address = "127.0.0.1:0";
-    options.operator_key_digest = HexEncode(Sha256(kOperatorKey));
+    options.operator_key_digest = Sha256(kOperatorKey);
     http_handlers handlers;
     handlers.submit = [this](entry::caller_request request) {
       return requests_.TryPush(std::move(request));
--- a/src/runtime/http_session.cc
+++ b/src/runtime/http_session.cc
@@ -289,8 +289,7 @@
 bool http_session::IsOperator(const http_request& request) const {
   const std::string& digest = shared_.options.operator_key_digest;
   const auto key = BearerOf(request);
-  return !digest.empty() && key &&
-         EqualConstantTime(HexEncode(Sha256(*key)), digest);
+  return !digest.empty() && key && config::VerifyOperatorKey(digest, *key);
 }
 
 void http_session::WatchForClose() {
