--- a/src/system/fault_test.cc
+++ b/src/system/fault_test.cc
@@ -86,7 +86,7 @@
   std::vector<std::thread> threads_;
 };
 
-class FaultTest : public FleetTest {
+class SystemFaultTest : public SystemTest {
  protected:
   static constexpr int kWriters = 3;
   static constexpr size_t kOrders = 15;
@@ -128,7 +128,7 @@
 
 // Guards against a garbage row that ends serving or hides the last good
 // version, and against an edit that repairs it not taking effect.
-TEST_F(FaultTest, GarbageRowInTheStoreLeavesTheLastVersionInForce) {
+TEST_F(SystemFaultTest, GarbageRowInTheStoreLeavesTheLastVersionInForce) {
   ASSERT_NO_FATAL_FAILURE(StartFleet(2));
   const auto base = store_->Load();
   ASSERT_TRUE(base);
@@ -158,7 +158,7 @@
 }
 
 // Guards against an edit that silently overwrites a concurrent one.
-TEST_F(FaultTest, EditRaceHasOneWinner) {
+TEST_F(SystemFaultTest, EditRaceHasOneWinner) {
   ASSERT_NO_FATAL_FAILURE(StartFleet(1));
   store::client other_client({{parts_->Address("store")}});
   store::configuration_store other(other_client);
@@ -186,7 +186,7 @@
 
 // Guards against daemons that stop serving when the store does: longer than
 // the limit for a configuration that may be stale.
-TEST_F(FaultTest, ServingGoesOnWithoutTheStore) {
+TEST_F(SystemFaultTest, ServingGoesOnWithoutTheStore) {
   ASSERT_NO_FATAL_FAILURE(StartFleet(3));
   Control("/v1/parts/store/stop");
   const auto end = std::chrono::steady_clock::now() + seconds(7);
@@ -201,7 +201,7 @@
 }
 
 // Guards against a message that does not decode ending a daemon.
-TEST_F(FaultTest, GarbageOnThePeerPortIsCounted) {
+TEST_F(SystemFaultTest, GarbageOnThePeerPortIsCounted) {
   ASSERT_NO_FATAL_FAILURE(StartFleet(2));
   const int64_t before = Metric(0, "peer_undecodable_total");
   nng_socket raw;
@@ -223,7 +223,7 @@
 }
 
 // Guards against an untruthful outcome when the answer to COMMIT is lost.
-TEST_F(FaultTest, LostAnswerToCommitHasATruthfulOutcome) {
+TEST_F(SystemFaultTest, LostAnswerToCommitHasATruthfulOutcome) {
   ASSERT_NO_FATAL_FAILURE(StartFleet(2));
   const json once = {{"count", 1}, {"match", "COMMIT"}};
   for (int i = 0; i < 3; ++i) {
@@ -248,18 +248,18 @@
 
 // Guards against acknowledged writes that a failover loses or doubles, and
 // against writes that don't go on after it.
-TEST_F(FaultTest, StoppedPrimaryIsReplaced) {
+TEST_F(SystemFaultTest, StoppedPrimaryIsReplaced) {
   ExpectFailover("stop");
 }
 
 // Guards against the same with a primary that is cut off but lives on.
-TEST_F(FaultTest, IsolatedPrimaryIsReplaced) {
+TEST_F(SystemFaultTest, IsolatedPrimaryIsReplaced) {
   ExpectFailover("cut");
 }
 
 // Guards against a failover or an outage when only the open connections became
 // unresponsive.
-TEST_F(FaultTest, SilentConnectionsAreReplacedWithoutFailover) {
+TEST_F(SystemFaultTest, SilentConnectionsAreReplacedWithoutFailover) {
   ASSERT_NO_FATAL_FAILURE(StartFleet(3));
   writer_group writers(3, kWriters, Writer());
   ASSERT_TRUE(writers.WaitForMore(kOrders)) << writers.Refusals();
@@ -272,7 +272,7 @@
 }
 
 // Guards against a drain that cuts requests.
-TEST_F(FaultTest, DrainCutsNoRequest) {
+TEST_F(SystemFaultTest, DrainCutsNoRequest) {
   ASSERT_NO_FATAL_FAILURE(StartFleet(2));
   Settings("statement_ms", 20);
   constexpr int kCallers = 4;
@@ -322,7 +322,7 @@
 
 // Guards against writes that wait for their deadline, or are accepted, while
 // no majority of members is left.
-TEST_F(FaultTest, NoPrimaryIsAnsweredWithoutAMajority) {
+TEST_F(SystemFaultTest, NoPrimaryIsAnsweredWithoutAMajority) {
   ASSERT_NO_FATAL_FAILURE(StartFleet(2));
   Control("/v1/parts/orders-1/stop");
   Control("/v1/parts/orders-2/stop");
--- a/src/system/fleet_fixture.h
+++ b/src/system/fleet_fixture.h
@@ -103,14 +103,14 @@
   return reply.body["results"][0]["rows"][0][0].get<int64_t>();
 }
 
-class FleetTest : public testing::Test {
+class SystemTest : public testing::Test {
  protected:
   static constexpr const char* kMembers[] = {"orders-1", "orders-2",
                                              "orders-3"};
 
-  FleetTest() { SetLogLevel(log_level::kDebug); }
+  SystemTest() { SetLogLevel(log_level::kDebug); }
 
-  ~FleetTest() override {
+  ~SystemTest() override {
     daemons_.clear();
     if (HasFailure()) {
       std::fputs(errors_.Text().c_str(), stdout);
--- a/src/system/request_test.cc
+++ b/src/system/request_test.cc
@@ -9,7 +9,7 @@
 
 // Guards against a session that moves to another daemon and is read from a
 // replica which does not hold its write yet.
-TEST_F(FleetTest, SessionReadsItsWritesOnAnotherDaemonWhileReplicasLag) {
+TEST_F(SystemTest, SessionReadsItsWritesOnAnotherDaemonWhileReplicasLag) {
   ASSERT_NO_FATAL_FAILURE(StartFleet(2));
   Settings("replication_delay_ms", 200);
   // One replica never gets the writes and may not serve the session.
@@ -29,7 +29,7 @@
 }
 
 // Guards against reads that accept old data but are served by the primary.
-TEST_F(FleetTest, ReadWithMaximumAgeIsServedByReplica) {
+TEST_F(SystemTest, ReadWithMaximumAgeIsServedByReplica) {
   ASSERT_NO_FATAL_FAILURE(StartFleet(2));
   for (size_t daemon = 0; daemon < 2; ++daemon) {
     json body = Body("orders", "read", Count("none"));
@@ -50,7 +50,7 @@
 
 // Guards against refusals with a wrong code or outcome, and against refused
 // requests that have an effect.
-TEST_F(FleetTest, RefusalsAreNumberedAndWriteNothing) {
+TEST_F(SystemTest, RefusalsAreNumberedAndWriteNothing) {
   ASSERT_NO_FATAL_FAILURE(StartFleet(2));
   const http_reply first = Write(0, "kept", "reused-key");
   ASSERT_TRUE(first.done()) << first.text;
@@ -122,7 +122,7 @@
 
 // Guards against a withdrawn key that goes on working on an open connection or
 // in an open transaction.
-TEST_F(FleetTest, WithdrawnKeyStopsOnOpenConnectionsAndTransactions) {
+TEST_F(SystemTest, WithdrawnKeyStopsOnOpenConnectionsAndTransactions) {
   ASSERT_NO_FATAL_FAILURE(StartFleet(2));
   const std::string key = Grant(kOrganisation);
   const json read = Body("orders", "read", Count("none"));
@@ -165,7 +165,7 @@
 }
 
 // Guards against a replayed write that runs again on another daemon.
-TEST_F(FleetTest, ReplayThroughAnotherDaemonReturnsTheRecordedAnswer) {
+TEST_F(SystemTest, ReplayThroughAnotherDaemonReturnsTheRecordedAnswer) {
   ASSERT_NO_FATAL_FAILURE(StartFleet(3));
   const http_reply first = Write(0, "replayed", "replay-key");
   ASSERT_TRUE(first.done()) << first.text;
@@ -180,7 +180,7 @@
 }
 
 // Guards against keys that reach a database or a log line.
-TEST_F(FleetTest, SecretsReachNeitherDatabasesNorLogs) {
+TEST_F(SystemTest, SecretsReachNeitherDatabasesNorLogs) {
   ASSERT_NO_FATAL_FAILURE(StartFleet(2));
   const size_t dot = key_.find('.');
   const std::string id = key_.substr(0, dot);
--- a/src/system/transaction_test.cc
+++ b/src/system/transaction_test.cc
@@ -35,7 +35,7 @@
 
 // Guards against transactions that only their first daemon can continue or
 // end, and against a rollback that leaves something behind.
-TEST_F(FleetTest, TransactionRunsOverTwoDaemons) {
+TEST_F(SystemTest, TransactionRunsOverTwoDaemons) {
   ASSERT_NO_FATAL_FAILURE(StartFleet(2));
   http_caller first = Caller(0);
   http_caller second = Caller(1);
@@ -64,7 +64,7 @@
 
 // Guards against an idle transaction that keeps its lock and its connection,
 // or that can be committed after its end.
-TEST_F(FleetTest, IdleTransactionIsRolledBack) {
+TEST_F(SystemTest, IdleTransactionIsRolledBack) {
   transaction_idle_ms_ = 500;
   ASSERT_NO_FATAL_FAILURE(StartFleet(2));
   http_caller caller = Caller(0);
@@ -82,7 +82,7 @@
 }
 
 // Guards against statements of two transactions on one connection (I3).
-TEST_F(FleetTest, TransactionsNeverMix) {
+TEST_F(SystemTest, TransactionsNeverMix) {
   ASSERT_NO_FATAL_FAILURE(StartFleet(2));
   http_caller first = Caller(0);
   http_caller second = Caller(1);
@@ -114,7 +114,7 @@
 
 // Guards against a transaction that outlives its caller's connection, and
 // against its connection being reused with its changes in place.
-TEST_F(FleetTest, DisconnectRollsTheTransactionBack) {
+TEST_F(SystemTest, DisconnectRollsTheTransactionBack) {
   ASSERT_NO_FATAL_FAILURE(StartFleet(2));
   for (int i = 0; i < 4; ++i) {
     const std::string id = fmt::format("dropped-{}", i);
@@ -137,7 +137,7 @@
 
 // Guards against a caller that disconnects during its request and thereby
 // leaves a row twice, a busy connection or a request in flight.
-TEST_F(FleetTest, DisconnectDuringRequestLeavesNothingBehind) {
+TEST_F(SystemTest, DisconnectDuringRequestLeavesNothingBehind) {
   ASSERT_NO_FATAL_FAILURE(StartFleet(2));
   Settings("statement_ms", 100);
   for (int i = 0; i < 6; ++i) {
