--- /dev/null
+++ b/scripts/measure.sh
@@ -0,0 +1,26 @@
+#!/usr/bin/env bash
+# Measurements that docs state. `measure.sh capacity [SEED]` runs the program
+# capacity and prints its figures, then the table of docs/CAPACITY.md. The
+# JSON stays in the build folder (TARRAGONDALE_BUILD, default: build).
+set -euo pipefail
+cd "$(dirname "$0")/.."
+build=${TARRAGONDALE_BUILD:-build}
+
+measure_capacity() {
+  local json="$build/capacity.json"
+  echo "commit $(git rev-parse --short HEAD), $(nproc) cores," \
+    "load $(cut -d' ' -f1-3 /proc/loadavg)," \
+    "$(sed -n 's/^CMAKE_BUILD_TYPE:[A-Z]*=//p' "$build/CMakeCache.txt")," \
+    "seed ${1:-1}"
+  "$build/src/capacity" --seed="${1:-1}" --json="$json"
+  echo
+  scripts/capacity_table.sh "$json"
+}
+
+case "${1:-}" in
+  capacity) measure_capacity "${2:-1}" ;;
+  *)
+    echo "usage: scripts/measure.sh capacity [SEED]" >&2
+    exit 2
+    ;;
+esac
--- a/src/capacity/configuration.cc
+++ b/src/capacity/configuration.cc
@@ -1,6 +1,8 @@
 // Cost of the configuration: rows, full load, one edit.
 #include <fmt/format.h>
 
+#include <nlohmann/json.hpp>
+
 #include "src/capacity/population.h"
 #include "src/capacity/roles.h"
 #include "tarragondale/store.h"
@@ -60,6 +62,44 @@
               conditions);
 }
 
+// Answer of the service to a whole load, in its JSON.
+std::string LoadAnswer(const std::vector<store::key_value>& rows) {
+  nlohmann::json kvs = nlohmann::json::array();
+  for (const store::key_value& row : rows) {
+    kvs.push_back({{"key", Base64Encode(row.key)},
+                   {"value", Base64Encode(row.value)},
+                   {"create_revision", "1000000"},
+                   {"mod_revision", "1000000"},
+                   {"version", "1"}});
+  }
+  const nlohmann::json answer = {{"header", {{"revision", "1000000"}}},
+                                 {"succeeded", true},
+                                 {"responses",
+                                  {{{"response_range",
+                                     {{"header", {{"revision", "1000000"}}},
+                                      {"count", std::to_string(rows.size())},
+                                      {"kvs", std::move(kvs)}}}}}}};
+  return answer.dump();
+}
+
+void MeasureLoadAnswer(const std::vector<store::key_value>& rows,
+                       figure_list& figures) {
+  const std::string text = LoadAnswer(rows);
+  const int64_t before = LiveBytes();
+  const cpu_timer timer;
+  const auto answer = store::DecodeTxnAnswer(text);
+  const double time = timer.Microseconds();
+  const std::string conditions = fmt::format(
+      "{} of {} rows decoded",
+      answer && !answer->answers.empty() ? answer->answers[0].rows.size() : 0,
+      rows.size());
+  figures.Add("store.load_bytes", static_cast<double>(text.size()), "bytes",
+              conditions);
+  figures.Add("store.load_decode", time, "us", conditions);
+  figures.Add("store.load_state", static_cast<double>(LiveBytes() - before),
+              "bytes", conditions + "; transient, without the text");
+}
+
 // One edit of one route: the row and the version row arrive by the watch.
 void MeasureEdit(store::version_rules& rules,
                  const config::configuration& value,
@@ -131,6 +171,7 @@
               static_cast<double>(LiveBytes() - before_load), "bytes",
               conditions + "; rows and version in force");
   MeasureEdit(rules, value, conditions, figures);
+  MeasureLoadAnswer(rows, figures);
 }
 
 }  // namespace tarragondale::capacity
--- a/src/capacity/control_duty.cc
+++ b/src/capacity/control_duty.cc
@@ -4,92 +4,164 @@
 
 #include <fmt/format.h>
 
+#include <nlohmann/json.hpp>
+
 #include "src/capacity/population.h"
 #include "src/capacity/roles.h"
 #include "src/capacity/scripted_fleet.h"
+#include "src/runtime/vm_list_reader.h"
 
 namespace tarragondale::capacity {
 namespace {
 
 constexpr int kSizes[] = {9, 200, 1'000, 4'700};
 constexpr duration kMeasured = seconds(10);
+constexpr int kMembers = 3;
+
+// Control thread of VM 0 with scripted peers.
+class measured_control {
+ public:
+  measured_control(int vms,
+                   uint64_t seed,
+                   const config::configuration_ptr& configuration)
+      : peers_(vms, {}, seed),
+        control_({.self = MakeVm(0), .store_region = "region-0", .seed = seed},
+                 Outputs()) {
+    Handle(Gossip(peers_.Records()));
+    Handle(configuration);
+  }
+
+  static wire::message Gossip(std::vector<wire::vm_record> records) {
+    return {VmName(1),
+            wire::probe{1, VmName(0), VmName(1), {1, 10}, std::move(records)}};
+  }
+
+  // Processor time of one event in microseconds.
+  double Handle(runtime::control_event event) {
+    const cpu_timer timer;
+    control_.Handle(now_, std::move(event));
+    return timer.Microseconds();
+  }
+
+  // Processor time for each second, microseconds.
+  double RunFor(duration span) {
+    double time = 0;
+    const time_point end = now_ + span;
+    while (now_ < end) {
+      const time_point tick =
+          std::max(now_, std::min(end, control_.NextDeadline().value_or(end)));
+      if (const auto next = peers_.Next(tick)) {
+        now_ = next->at;
+        time += Handle(next->message);
+      } else {
+        now_ = tick;
+        const cpu_timer timer;
+        control_.Tick(now_);
+        time += timer.Microseconds();
+      }
+    }
+    return time / std::chrono::duration<double>(span).count();
+  }
+
+  int views = 0;
+
+ private:
+  runtime::control_outputs Outputs() {
+    return {.send =
+                [this](std::string_view vm, std::string_view /*address*/,
+                       const wire::message_body& body) {
+                  peers_.Take(now_, std::string(vm), body);
+                  return true;
+                },
+            .publish_view =
+                [this](const fleet::fleet_view_ptr& /*view*/) { ++views; },
+            .publish_currency = [](bool /*current*/) {},
+            .command_database =
+                [](const database::command& /*command*/) { return true; }};
+  }
+
+  time_point now_ = TimeFromMs(0);
+  scripted_fleet peers_;
+  runtime::control_duty control_;
+};
 
 void MeasureSize(int vms,
                  uint64_t seed,
                  const config::configuration_ptr& configuration,
                  figure_list& figures) {
-  scripted_fleet peers(vms, {}, seed);
-  time_point now = TimeFromMs(0);
-  int views = 0;
-  runtime::control_outputs outputs;
-  outputs.send = [&](std::string_view vm, std::string_view /*address*/,
-                     const wire::message_body& body) {
-    peers.Take(now, std::string(vm), body);
-    return true;
-  };
-  outputs.publish_view = [&](const fleet::fleet_view_ptr& /*view*/) {
-    ++views;
-  };
-  outputs.publish_currency = [](bool /*current*/) {};
-  outputs.command_database = [](const database::command& /*command*/) {
-    return true;
-  };
-  runtime::control_duty control(
-      {.self = MakeVm(0), .store_region = "region-0", .seed = seed},
-      std::move(outputs));
-  const auto gossip = [](std::vector<wire::vm_record> records) {
-    return wire::message{
-        VmName(1),
-        wire::probe{1, VmName(0), VmName(1), {1, 10}, std::move(records)}};
-  };
-  control.Handle(now, gossip(peers.Records()));
-  control.Handle(now, configuration);
+  measured_control control(vms, seed, configuration);
   const std::string suffix = fmt::format("@{}", vms);
   const std::string conditions =
       fmt::format("control thread, {} VMs, {} pools, seed {}", vms,
                   configuration->pools.size(), seed);
-  {
-    const cpu_timer timer;
-    control.Handle(now, configuration);
-    figures.Add("control.configuration_change" + suffix, timer.Microseconds(),
-                "us", conditions);
-  }
-  {
-    // One VM was replaced: one more record, one view.
-    const int before = views;
-    const cpu_timer timer;
-    control.Handle(now, gossip({MakeVm(vms)}));
-    figures.Add("control.fleet_change" + suffix, timer.Microseconds(), "us",
-                fmt::format("{}, {} views", conditions, views - before));
-  }
+  figures.Add("control.configuration_change" + suffix,
+              control.Handle(configuration), "us", conditions);
+  figures.Add("control.quiet_cpu" + suffix, control.RunFor(kMeasured), "us/s",
+              conditions + ", no reports known");
+
+  // Reports of all groups, as an entry that uses all groups receives them.
+  const int64_t before = LiveBytes();
+  int reports = 0;
   double time = 0;
-  const time_point end = now + kMeasured;
-  while (now < end) {
-    const time_point tick =
-        std::max(now, std::min(end, control.NextDeadline().value_or(end)));
-    if (const auto next = peers.Next(tick)) {
-      now = next->at;
-      const cpu_timer timer;
-      control.Handle(now, next->message);
-      time += timer.Microseconds();
-    } else {
-      now = tick;
-      const cpu_timer timer;
-      control.Tick(now);
-      time += timer.Microseconds();
+  const fleet::fleet_view_ptr view = MakeView(vms);
+  for (const auto& [name, pool] : configuration->pools) {
+    // A group coordinated here would be suspected, since no reports follow.
+    if (fleet::PlaceRole(*view, fleet::CoordinatorRole(pool.group), {}) ==
+        VmName(0)) {
+      continue;
+    }
+    for (int member = 0; member < kMembers; ++member) {
+      time += control.Handle(wire::message{
+          VmName(1), wire::group_report{pool.group, {MakeReport(member)}}});
+      ++reports;
     }
   }
-  figures.Add("control.quiet_cpu" + suffix,
-              time / std::chrono::duration<double>(kMeasured).count(), "us/s",
-              fmt::format("{}, no reports, {} views", conditions, views));
+  const std::string known =
+      fmt::format("{}, reports of {} members known", conditions, reports);
+  figures.Add("control.first_report" + suffix, time / reports, "us", known);
+  figures.Add("control.report_state" + suffix,
+              static_cast<double>(LiveBytes() - before) / reports, "bytes",
+              known);
+  figures.Add("control.reports_known_cpu" + suffix, control.RunFor(kMeasured),
+              "us/s", known + ", none arrive");
+
+  // One VM was added: one more record, one view.
+  const int views = control.views;
+  const double change = control.Handle(measured_control::Gossip({MakeVm(vms)}));
+  figures.Add("control.fleet_change" + suffix, change, "us",
+              fmt::format("{}, {} views", conditions, control.views - views));
+}
+
+// The platform's list of all VMs, as each VM reads it.
+void MeasureVmList(figure_list& figures) {
+  nlohmann::json list = nlohmann::json::array();
+  const fleet::fleet_view_ptr view = MakeView(kTargetVms);
+  for (const wire::vm_record& vm : view->vms) {
+    list.push_back({{"name", vm.name},
+                    {"peer_address", vm.peer_address},
+                    {"http_address", vm.http_address},
+                    {"availability_zone", vm.availability_zone},
+                    {"region", vm.region},
+                    {"state", "live"}});
+  }
+  const std::string body = list.dump();
+  const cpu_timer timer;
+  const auto vms = runtime::DecodeVmList(body);
+  const double time = timer.Microseconds();
+  const std::string conditions =
+      fmt::format("{} VMs decoded", vms ? vms->size() : 0);
+  figures.Add("vm_list.bytes", static_cast<double>(body.size()), "bytes",
+              conditions);
+  figures.Add("vm_list.decode", time, "us", conditions);
 }
 
 }  // namespace
 
 void MeasureControlDuty(uint64_t seed, figure_list& figures) {
-  const auto configuration =
-      std::make_shared<const config::configuration>(MakeConfiguration({}));
+  MeasureVmList(figures);
   for (const int vms : kSizes) {
+    const auto configuration = std::make_shared<const config::configuration>(
+        MakeConfiguration(SizeFor(vms)));
     MeasureSize(vms, seed, configuration, figures);
   }
 }
--- a/src/capacity/entry.cc
+++ b/src/capacity/entry.cc
@@ -21,7 +21,7 @@
 // A router that serves the target's configuration.
 class served_router {
  public:
-  served_router() : router_(Options()) {
+  explicit served_router(int vms) : view_(MakeView(vms)), router_(Options()) {
     router_.Step(now_, entry::fleet_changed{view_});
     router_.Step(now_, entry::configuration_changed{configuration_});
     router_.Step(now_, entry::currency_changed{true});
@@ -41,17 +41,16 @@
     }
   }
 
-  entry::caller_request Request(int organisation, wire::request_kind kind) {
-    // An organisation's first route; see MakeConfiguration.
-    const int route = organisation * 2 % kGroups;
+  // A request to a group by an organisation that may use it.
+  entry::caller_request Request(int group, wire::request_kind kind) {
     entry::caller_request request;
     request.connection = 1;
     request.exchange = ++exchange_;
-    request.route = RouteName(route);
+    request.route = RouteName(group);
     request.kind = kind;
     request.statements = {
         {"SELECT item FROM orders WHERE id = $1", {{"order-000017"}}}};
-    request.bearer = BearerOf(organisation);
+    request.bearer = BearerOf(group / 2);
     return request;
   }
 
@@ -76,9 +75,18 @@
     return false;
   }
 
+  // Time of one event in microseconds, and what it made.
+  double Time(const entry::event& event, size_t& actions) {
+    const cpu_timer timer;
+    actions = router_.Step(now_, event).size();
+    return timer.Microseconds();
+  }
+
+  void ChangeFleet() { router_.Step(now_, entry::fleet_changed{view_}); }
+
   double UseGroup(int group) {
     Report(group);
-    const auto actions = Step(Request(group / 2, wire::request_kind::kRead));
+    const auto actions = Step(Request(group, wire::request_kind::kRead));
     return Answer(actions) ? 1 : 0;
   }
 
@@ -94,7 +102,7 @@
   config::configuration_ptr configuration_ =
       std::make_shared<const config::configuration>(MakeConfiguration(
           {.groups = kGroups, .organisations = kOrganisations}));
-  fleet::fleet_view_ptr view_ = MakeView(kVms);
+  fleet::fleet_view_ptr view_;
   entry::request_router router_;
   time_point now_ = TimeFromMs(1'000'000);
   uint64_t exchange_ = 0;
@@ -127,10 +135,43 @@
                           sent, kExchanges, kVms));
 }
 
+// An entry whose callers use all groups of the target: interest, and placement
+// on demand after a change of the fleet.
+void MeasureAllGroups(figure_list& figures) {
+  const int64_t before_router = LiveBytes();
+  served_router router(kTargetVms);
+  figures.Add("entry.configured_state", BytesSince(before_router), "bytes",
+              "router and the target's configuration and view");
+  const int64_t before = LiveBytes();
+  double used = 0;
+  for (int group = 0; group < kGroups; ++group) {
+    used += router.UseGroup(group);
+  }
+  const std::string conditions =
+      fmt::format("{:.0f} groups used, {} VMs", used, kTargetVms);
+  figures.Add("entry.all_groups_state", BytesSince(before), "bytes",
+              conditions);
+  size_t actions = 0;
+  router.Pass(seconds(1));
+  const double quiet = router.Time(entry::tick{}, actions);
+  figures.Add("entry.interest_tick", quiet, "us",
+              fmt::format("{}, {} messages", conditions, actions));
+  router.ChangeFleet();
+  router.Pass(seconds(1));
+  const double placed = router.Time(entry::tick{}, actions);
+  figures.Add("entry.interest_tick_after_fleet_change", placed, "us",
+              fmt::format("{}, {} messages", conditions, actions));
+  const wire::group_interest interest{{GroupName(0), GroupName(1)}};
+  figures.Add("entry.interest_bytes",
+              static_cast<double>(wire::Encode({VmName(0), interest}).size()),
+              "bytes", "message that names two groups");
+}
+
 }  // namespace
 
 void MeasureEntry(figure_list& figures) {
-  served_router router;
+  MeasureAllGroups(figures);
+  served_router router(kVms);
   MeasureExchange(router, wire::request_kind::kRead, figures);
   MeasureExchange(router, wire::request_kind::kWrite, figures);
 
--- a/src/capacity/membership.cc
+++ b/src/capacity/membership.cc
@@ -18,6 +18,12 @@
 constexpr churn kTargetChurn{84, 4'400};
 constexpr duration kLatency = milliseconds(1);
 constexpr duration kWarmUp = seconds(30);
+// Until a VM that learned a record of each VM has told them all as often as
+// the protocol demands: 3 * bit_width(n + 1) sends for each record, 24 records
+// a second.
+duration DrainTime(int vms) {
+  return seconds(30 + 2 * vms);
+}
 constexpr duration kMeasured = seconds(30);
 constexpr duration kScriptedMeasured = seconds(300);
 constexpr duration kJoinLimit = seconds(7'200);
@@ -118,10 +124,11 @@
 void MeasureFull(int vms, uint64_t seed, figure_list& figures) {
   const int64_t before = LiveBytes();
   full_fleet fleet(vms, seed);
-  fleet.RunFor(kWarmUp);
+  fleet.RunFor(DrainTime(vms) / 2);
   const std::string suffix = fmt::format("@{}", vms);
   const std::string conditions =
-      fmt::format("full fleet of {}, quiet, seed {}", vms, seed);
+      fmt::format("full fleet of {}, quiet after {} s, seed {}", vms,
+                  ToMs(DrainTime(vms)) / 2'000, seed);
   figures.Add("membership.full_state" + suffix,
               static_cast<double>(LiveBytes() - before) / vms, "bytes/VM",
               conditions);
@@ -222,11 +229,12 @@
 void MeasureRunning(int vms,
                     const std::string& name,
                     churn rates,
+                    duration warm_up,
                     uint64_t seed,
                     figure_list& figures) {
   measured_vm vm(vms, rates, seed);
   vm.LearnAll();
-  vm.RunUntil(vm.now() + kWarmUp);
+  vm.RunUntil(vm.now() + warm_up);
   vm.cpu_us = 0;
   vm.views = 0;
   vm.sent = vm.received = {};
@@ -235,8 +243,10 @@
   const double time = std::chrono::duration<double>(kScriptedMeasured).count();
   const std::string suffix = fmt::format("@{}", vms);
   const std::string conditions = fmt::format(
-      "one VM, {} scripted peers, {}, {:.0f} s, {} VMs changed, seed {}",
-      vms - 1, name, time, vm.changes() - changes, seed);
+      "one VM, {} scripted peers, {}, {:.0f} s after {} s, {} VMs changed, "
+      "seed "
+      "{}",
+      vms - 1, name, time, ToMs(warm_up) / 1'000, vm.changes() - changes, seed);
   const auto add = [&](const std::string& what, double value,
                        const std::string& unit) {
     figures.Add("membership." + name + "_" + what + suffix, value, unit,
@@ -285,8 +295,9 @@
     MeasureFull(vms, seed, figures);
   }
   for (const int vms : kScriptedSizes) {
-    MeasureRunning(vms, "quiet", kNoChurn, seed, figures);
-    MeasureRunning(vms, "churn", kTargetChurn, seed, figures);
+    MeasureRunning(vms, "joined", kNoChurn, kWarmUp, seed, figures);
+    MeasureRunning(vms, "quiet", kNoChurn, DrainTime(vms), seed, figures);
+    MeasureRunning(vms, "churn", kTargetChurn, DrainTime(vms), seed, figures);
     MeasureJoin(vms, seed, figures);
   }
 }
--- a/src/capacity/placement.cc
+++ b/src/capacity/placement.cc
@@ -38,9 +38,9 @@
                  const config::configuration_ptr& configuration,
                  figure_list& figures) {
   const std::string suffix = fmt::format("@{}", vms);
-  const std::string conditions =
-      fmt::format("{} VMs, {} pools, mean of {}", vms,
-                  configuration->pools.size(), kChanges);
+  const std::string conditions = fmt::format(
+      "{} VMs, {} pools, {} keys, mean of {}", vms, configuration->pools.size(),
+      configuration->keys.size(), kChanges);
   const fleet::fleet_view_ptr view = MakeView(vms);
   time_point now = TimeFromMs(0);
   {
@@ -73,19 +73,19 @@
   router.Step(now, entry::configuration_changed{configuration});
   figures.Add("placement.entry_fleet_change" + suffix,
               StepTime(router, now, entry::fleet_changed{view}), "us",
-              conditions + ", 10,000 organisations");
+              conditions);
   figures.Add(
       "placement.entry_configuration_change" + suffix,
       StepTime(router, now, entry::configuration_changed{configuration}), "us",
-      conditions + ", 10,000 organisations");
+      conditions);
 }
 
 }  // namespace
 
 void MeasurePlacement(figure_list& figures) {
-  const auto configuration =
-      std::make_shared<const config::configuration>(MakeConfiguration({}));
   for (const int vms : kSizes) {
+    const auto configuration = std::make_shared<const config::configuration>(
+        MakeConfiguration(SizeFor(vms)));
     MeasureSize(vms, configuration, figures);
   }
 }
--- a/src/capacity/population.cc
+++ b/src/capacity/population.cc
@@ -64,6 +64,13 @@
   return KeyId(organisation, 0) + "." + kSecret;
 }
 
+configuration_size SizeFor(int vms) {
+  configuration_size size;
+  size.groups = std::max(2, size.groups * vms / kTargetVms);
+  size.organisations = std::max(1, size.organisations * vms / kTargetVms);
+  return size;
+}
+
 config::configuration MakeConfiguration(const configuration_size& size) {
   config::configuration made;
   made.version = 1;
--- a/src/capacity/population.h
+++ b/src/capacity/population.h
@@ -21,6 +21,11 @@
   int routes_per_organisation = 2;
 };
 
+inline constexpr int kTargetVms = 4'700;
+
+/// @brief The target's configuration in proportion to the size of a fleet.
+configuration_size SizeFor(int vms);
+
 inline constexpr char kSecret[] = "cQ2nF0w1yYt7hV9sLk3mZp5xRb8dGj4uEa6oTi0NCqw";
 
 /// @brief Configuration with a route, a pool and a group of three members for
