--- a/scripts/capacity_table.sh
+++ b/scripts/capacity_table.sh
@@ -89,7 +89,10 @@
       spread_limit)
   row("configuration", "whole load by a starting node", \
       need("store.load_bytes") / 1e6, "MB", 0)
-  row("configuration", "same through " byte_limit " KB/s", \
+  row("configuration", "memory of the load: text, answer, decoded rows", \
+      (need("store.load_bytes") + need("store.load_state") + \
+       need("configuration.follower_state")) / 1e6, "MB", memory_limit)
+  row("configuration", "same load through " byte_limit " KB/s", \
       need("store.load_bytes") / 1000 / byte_limit, "s", spread_limit)
   row("configuration", "loads of " replacements + failures \
       " new VMs a day, from the service", \
@@ -112,11 +115,15 @@
       (need("entry.interest_tick_after_fleet_change") - \
        need("entry.interest_tick")) * views / 1000, "ms/s", cpu_limit)
 
-  # Entry.
+  # Entry. The configuration itself is counted above.
+  e_state = (need("entry.configured_state") - \
+             need("configuration.copy_state")) / 1e6
   row("entry", "processor for statements a node, all reads", \
       need("entry.exchange_read") * statements / nodes / 1000, "ms/s", 0)
   row("entry", "state a node, all groups used", \
       need("entry.all_groups_state") / 1e6, "MB", memory_limit)
+  row("entry", "state a node: view, token buckets, index of pools", \
+      e_state, "MB", memory_limit)
   row("entry", "state a node, 8,192 requests in flight", \
       need("entry.in_flight_state") * 8192 / 1e6, "MB", 0)
   row("entry", "reports received a node, all groups used", \
@@ -126,6 +133,9 @@
   row("entry", "processor a node for these reports", databases * reports * \
       (need("entry.report_decode") + need("entry.report")) / 1000, "ms/s", \
       cpu_limit)
+  row("control thread", "processor a node for the same reports", \
+      databases * reports * need("control.first_report@4700") / 1000, "ms/s", \
+      cpu_limit)
   row("entry", "groups used that 4 KB/s carries", \
       byte_limit * 1000 / (3 * reports * report_bytes), "groups", 0)
   row("entry", "interest sent a node, all groups used", \
@@ -184,7 +194,7 @@
   # Sums for control work on a node. Statements and caller connections are not
   # control work.
   memory = m_state + c_state + need("configuration.copy_state") / 1e6 + \
-    need("entry.all_groups_state") / 1e6 + \
+    e_state + need("entry.all_groups_state") / 1e6 + \
     need("gateway.member_state@3") * members / 1e6 + \
     need("coordinator.state") * groups / nodes / 1e6 + \
     need("control.report_state@4700") * databases / 1e6
@@ -197,7 +207,8 @@
     (need("entry.interest_tick_after_fleet_change") - \
      need("entry.interest_tick")) * views / 1000 + \
     databases * reports * (need("entry.report_decode") + \
-                           need("entry.report")) / 1000 + \
+                           need("entry.report") + \
+                           need("control.first_report@4700")) / 1000 + \
     members * nodes * reports * (need("gateway.report_cpu@3") + \
                                  need("gateway.report_encode")) / 1000
   bytes = m_bytes + need("vm_list.bytes") / 2000 + \
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -7,10 +7,12 @@
 build=${TARRAGONDALE_BUILD:-build}
 
 measure_capacity() {
-  local json="$build/capacity.json"
+  local json="$build/capacity.json" type
+  # Empty if the build folder has the default of CMakeLists.txt.
+  type=$(sed -n 's/^CMAKE_BUILD_TYPE:[A-Z]*=//p' "$build/CMakeCache.txt")
   echo "commit $(git rev-parse --short HEAD), $(nproc) cores," \
     "load $(cut -d' ' -f1-3 /proc/loadavg)," \
-    "$(sed -n 's/^CMAKE_BUILD_TYPE:[A-Z]*=//p' "$build/CMakeCache.txt")," \
+    "${type:-RelWithDebInfo}," \
     "seed ${1:-1}"
   "$build/src/capacity" --seed="${1:-1}" --json="$json"
   echo
--- a/src/capacity/coordinator.cc
+++ b/src/capacity/coordinator.cc
@@ -24,6 +24,7 @@
   auto view = std::make_shared<fleet::fleet_view>(*MakeView(kVms));
   view->self = *fleet::PlaceRole(*view, fleet::CoordinatorRole(pool.group), {});
   std::vector<wire::group_report> reports;
+  reports.reserve(kMembers);
   for (int i = 0; i < kMembers; ++i) {
     reports.push_back({pool.group, {MakeReport(i)}});
   }
--- a/src/capacity/membership.cc
+++ b/src/capacity/membership.cc
@@ -49,6 +49,7 @@
  public:
   full_fleet(int vms, uint64_t seed) {
     std::vector<wire::vm_record> seeds;
+    seeds.reserve(static_cast<size_t>(vms));
     for (int i = 0; i < vms; ++i) {
       seeds.push_back(MakeVm(i));
     }
