--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -1,28 +1,15 @@
 #!/usr/bin/env bash
-# Measurements that docs state. `measure.sh capacity [SEED]` runs the program
-# capacity and prints its figures, then the table of docs/CAPACITY.md. The
-# JSON stays in the build folder (TARRAGONDALE_BUILD, default: build).
+# Runs one measurement of scripts/measure.d on stand-ins and prints a Markdown
+# table. Usage: scripts/measure.sh NAME [OPTIONS...]
 set -euo pipefail
 cd "$(dirname "$0")/.."
-build=${TARRAGONDALE_BUILD:-build}
-
-measure_capacity() {
-  local json="$build/capacity.json" type
-  # Empty if the build folder has the default of CMakeLists.txt.
-  type=$(sed -n 's/^CMAKE_BUILD_TYPE:[A-Z]*=//p' "$build/CMakeCache.txt")
-  echo "commit $(git rev-parse --short HEAD), $(nproc) cores," \
-    "load $(cut -d' ' -f1-3 /proc/loadavg)," \
-    "${type:-RelWithDebInfo}," \
-    "seed ${1:-1}"
-  "$build/src/capacity" --seed="${1:-1}" --json="$json"
-  echo
-  scripts/capacity_table.sh "$json"
-}
-
-case "${1:-}" in
-  capacity) measure_capacity "${2:-1}" ;;
-  *)
-    echo "usage: scripts/measure.sh capacity [SEED]" >&2
-    exit 2
-    ;;
-esac
+name=${1:-}
+if [ -z "$name" ] || [ ! -f "scripts/measure.d/$name.sh" ]; then
+  echo "usage: scripts/measure.sh NAME [OPTIONS...]; names:" >&2
+  for each in scripts/measure.d/*.sh; do
+    echo "  $(basename "$each" .sh)" >&2
+  done
+  exit 2
+fi
+shift
+exec bash "scripts/measure.d/$name.sh" "$@"
