Dial links anew that do not come up

The log shows no request and no failover, which fits a link between the VMs that never came up: it was only replaced after 60 s. The cause inside nng is not proved. A link that is not up after 2 s is now closed and dialled anew.

--- a/src/runtime/peer_transport.cc
+++ b/src/runtime/peer_transport.cc
@@ -117,12 +117,14 @@
     link& link = *next->second;
     const bool unresponsive =
         link.first_unanswered && now - *link.first_unanswered > limit;
+    // A dialler of nng may stop trying; a new one does not.
+    const bool never_up = !link.connected && now - link.dialled > limit;
     const bool unused = now - std::max(link.last_sent, link.dialled) > idle;
-    if (!unresponsive && !unused) {
+    if (!unresponsive && !never_up && !unused) {
       ++next;
       continue;
     }
-    if (unresponsive) {
+    if (unresponsive || never_up) {
       metrics_.relinked.fetch_add(1, std::memory_order_relaxed);
     }
     closed.push_back(std::move(next->second));
--- a/src/runtime/peer_transport.h
+++ b/src/runtime/peer_transport.h
@@ -51,9 +51,9 @@
             std::string_view address,
             wire::message_body body);
 
-  /// @brief Dials links anew that carried messages out and none in for
-  /// `limit`, and closes links that were idle for `idle`. Call about once a
-  /// second.
+  /// @brief Dials links anew that carried messages out and none in for `limit`
+  /// or did not come up within it, and closes links that were idle for `idle`.
+  /// Call about once a second.
   void Maintain(time_point now, duration limit, duration idle);
 
   /// @brief Closes all sockets and ends the thread.
--- a/src/runtime/peer_transport_test.cc
+++ b/src/runtime/peer_transport_test.cc
@@ -144,5 +144,21 @@
       [&] { return a.transport.Send("vm-b", b.address(), Interest("y")); }));
 }
 
+// Guards against a VM that stays unreachable because a dialler stopped trying.
+TEST(PeerTransportTest, LinkThatDoesNotComeUpIsDialledAnew) {
+  endpoint_fake a("vm-a");
+  ASSERT_FALSE(a.transport.Start("127.0.0.1:0"));
+  std::string address;
+  {
+    endpoint_fake reserved("vm-b");
+    ASSERT_FALSE(reserved.transport.Start("127.0.0.1:0"));
+    address = reserved.address();
+  }
+  EXPECT_FALSE(a.transport.Send("vm-b", address, Interest("x")));
+  const time_point later = std::chrono::steady_clock::now() + seconds(3);
+  a.transport.Maintain(later, seconds(2), seconds(60));
+  EXPECT_EQ(a.transport.metrics().relinked.load(), 1U);
+}
+
 }  // namespace
 }  // namespace tarragondale::runtime
