--- a/scripts/capacity_table.sh
+++ b/scripts/capacity_table.sh
@@ -191,6 +191,20 @@
   row("caller connections", "resident memory a node", \
       need("connections.idle_resident") * connections / nodes / 1e6, "MB", 0)
 
+  # Loss of one of seven zones. Each death is told twice, as suspect and dead,
+  # and a message carries up to six changed records.
+  zone = nodes / 7
+  row("one zone lost", "VMs", zone, "VMs", 0)
+  row("one zone lost", "least time in which gossip names all of them", \
+      2 * zone / 6 / need("membership.churn_messages_received@4700"), "s", \
+      failover_limit)
+  row("one zone lost", "gateway thread, one view for each death", \
+      zone * need("placement.gateway_fleet_change@4700") / 1e6, "s", \
+      failover_limit)
+  row("one zone lost", "primaries to replace", groups / 7, "groups", 0)
+  row("one zone lost", "failovers for each coordinating VM", \
+      groups / 7 / (nodes - zone), "groups", 0)
+
   # Sums for control work on a node. Statements and caller connections are not
   # control work.
   memory = m_state + c_state + need("configuration.copy_state") / 1e6 + \
