--- a/scripts/capacity_table.sh
+++ b/scripts/capacity_table.sh
@@ -159,6 +159,17 @@
       members * nodes * reports * (need("gateway.report_cpu@3") + \
       need("gateway.report_encode")) / 1000, "ms/s", cpu_limit)
 
+  row("gateway", "sending thread'\''s processor for these reports, nng", \
+      members * nodes * reports * need("links.send") / 1000, "ms/s", cpu_limit)
+
+  # Links. One that is idle for 60 s is closed.
+  l_member = need("membership.churn_messages_sent@4700") * 60
+  row("links", "open for membership alone", l_member, "links", 0)
+  row("links", "memory for membership alone", \
+      l_member * need("links.resident") / 1e6, "MB", memory_limit)
+  row("links", "memory, one to each VM and one from each", \
+      nodes * need("links.resident") / 1e6, "MB", memory_limit)
+
   # Coordinator and control thread.
   row("coordinator", "groups watched a node", groups / nodes, "groups", 0)
   row("coordinator", "state a node", \
@@ -211,7 +222,8 @@
     e_state + need("entry.all_groups_state") / 1e6 + \
     need("gateway.member_state@3") * members / 1e6 + \
     need("coordinator.state") * groups / nodes / 1e6 + \
-    need("control.report_state@4700") * databases / 1e6
+    need("control.report_state@4700") * databases / 1e6 + \
+    nodes * need("links.resident") / 1e6
   cpu = c_change * edit_rate / 1000 + f_change * views / 1000 + \
     (need("control.reports_known_cpu@4700") + \
      need("coordinator.cpu") * groups / nodes + \
@@ -224,7 +236,8 @@
                            need("entry.report") + \
                            need("control.first_report@4700")) / 1000 + \
     members * nodes * reports * (need("gateway.report_cpu@3") + \
-                                 need("gateway.report_encode")) / 1000
+                                 need("gateway.report_encode") + \
+                                 need("links.send")) / 1000
   bytes = m_bytes + need("vm_list.bytes") / 2000 + \
     (databases + members * nodes) * reports * report_bytes / 1000
   row("all control work", "memory a node, all groups used", memory, "MB", \
--- a/src/capacity/capacity_main.cc
+++ b/src/capacity/capacity_main.cc
@@ -21,7 +21,7 @@
 
 Options:
   --role=NAME  Only this role: membership, configuration, placement, entry,
-               gateway, coordinator, control or connections.
+               gateway, coordinator, control, connections or links.
   --seed=N     Seed of the membership simulations [default: 1].
   --json=FILE  Write the figures as JSON too.
   -h --help    Show this text.
@@ -39,6 +39,7 @@
     };
   };
   return {{"connections", unseeded(capacity::MeasureConnections)},
+          {"links", unseeded(capacity::MeasureLinks)},
           {"membership", capacity::MeasureMembership},
           {"configuration", unseeded(capacity::MeasureConfiguration)},
           {"placement", unseeded(capacity::MeasurePlacement)},
--- a/src/capacity/roles.h
+++ b/src/capacity/roles.h
@@ -16,6 +16,7 @@
 void MeasureCoordinator(figure_list& figures);
 void MeasureControlDuty(uint64_t seed, figure_list& figures);
 void MeasureConnections(figure_list& figures);
+void MeasureLinks(figure_list& figures);
 
 }  // namespace tarragondale::capacity
 
