--- a/scripts/capacity_table.sh
+++ b/scripts/capacity_table.sh
@@ -159,7 +159,7 @@
       members * nodes * reports * (need("gateway.report_cpu@3") + \
       need("gateway.report_encode")) / 1000, "ms/s", cpu_limit)
 
-  row("gateway", "sending thread'\''s processor for these reports, nng", \
+  row("gateway", "sending thread'\''s processor for these reports, with nng", \
       members * nodes * reports * need("links.send") / 1000, "ms/s", cpu_limit)
 
   # Links. One that is idle for 60 s is closed.
@@ -236,7 +236,6 @@
                            need("entry.report") + \
                            need("control.first_report@4700")) / 1000 + \
     members * nodes * reports * (need("gateway.report_cpu@3") + \
-                                 need("gateway.report_encode") + \
                                  need("links.send")) / 1000
   bytes = m_bytes + need("vm_list.bytes") / 2000 + \
     (databases + members * nodes) * reports * report_bytes / 1000
