--- a/scripts/capacity_table.sh
+++ b/scripts/capacity_table.sh
@@ -159,6 +159,17 @@
       members * nodes * reports * (need("gateway.report_cpu@3") + \
       need("gateway.report_encode")) / 1000, "ms/s", cpu_limit)
 
+  row("gateway", "sending thread'\''s processor for these reports, with nng", \
+      members * nodes * reports * need("links.send") / 1000, "ms/s", cpu_limit)
+
+  # Links. One that is idle for 60 s is closed.
+  l_member = need("membership.churn_messages_sent@4700") * 60
+  row("links", "open for membership alone", l_member, "links", 0)
+  row("links", "memory for membership alone", \
+      l_member * need("links.resident") / 1e6, "MB", memory_limit)
+  row("links", "memory, one to each VM and one from each", \
+      nodes * need("links.resident") / 1e6, "MB", memory_limit)
+
   # Coordinator and control thread.
   row("coordinator", "groups watched a node", groups / nodes, "groups", 0)
   row("coordinator", "state a node", \
@@ -191,13 +202,28 @@
   row("caller connections", "resident memory a node", \
       need("connections.idle_resident") * connections / nodes / 1e6, "MB", 0)
 
+  # Loss of one of seven zones. Each death is told twice, as suspect and dead,
+  # and a message carries up to six changed records.
+  zone = nodes / 7
+  row("one zone lost", "VMs", zone, "VMs", 0)
+  row("one zone lost", "least time in which gossip names all of them", \
+      2 * zone / 6 / need("membership.churn_messages_received@4700"), "s", \
+      failover_limit)
+  row("one zone lost", "gateway thread, one view for each death", \
+      zone * need("placement.gateway_fleet_change@4700") / 1e6, "s", \
+      failover_limit)
+  row("one zone lost", "primaries to replace", groups / 7, "groups", 0)
+  row("one zone lost", "failovers for each coordinating VM", \
+      groups / 7 / (nodes - zone), "groups", 0)
+
   # Sums for control work on a node. Statements and caller connections are not
   # control work.
   memory = m_state + c_state + need("configuration.copy_state") / 1e6 + \
     e_state + need("entry.all_groups_state") / 1e6 + \
     need("gateway.member_state@3") * members / 1e6 + \
     need("coordinator.state") * groups / nodes / 1e6 + \
-    need("control.report_state@4700") * databases / 1e6
+    need("control.report_state@4700") * databases / 1e6 + \
+    nodes * need("links.resident") / 1e6
   cpu = c_change * edit_rate / 1000 + f_change * views / 1000 + \
     (need("control.reports_known_cpu@4700") + \
      need("coordinator.cpu") * groups / nodes + \
@@ -210,7 +236,7 @@
                            need("entry.report") + \
                            need("control.first_report@4700")) / 1000 + \
     members * nodes * reports * (need("gateway.report_cpu@3") + \
-                                 need("gateway.report_encode")) / 1000
+                                 need("links.send")) / 1000
   bytes = m_bytes + need("vm_list.bytes") / 2000 + \
     (databases + members * nodes) * reports * report_bytes / 1000
   row("all control work", "memory a node, all groups used", memory, "MB", \
