--- a/include/tarragondale/fleet.h
+++ b/include/tarragondale/fleet.h
@@ -119,7 +119,9 @@
   duration probe_timeout = milliseconds(200);  ///< Then relays are asked.
   duration suspicion_timeout = milliseconds(1500);
   duration dead_probe_interval = seconds(5);  ///< Finds healed partitions.
-  duration tombstone_time = seconds(600);
+  /// Longer than the hour for which regions may lose each other, so that both
+  /// sides still know whom to probe.
+  duration tombstone_time = seconds(7200);
   int relays = 3;          ///< VMs asked for an indirect probe.
   int gossip_records = 6;  ///< Changed records in one message.
   int gossip_factor = 3;   ///< Times log2(n) sends for each change.
