--- a/src/runtime/control_duty.cc
+++ b/src/runtime/control_duty.cc
@@ -9,6 +9,10 @@
 namespace {
 
 constexpr duration kCurrencyInterval = milliseconds(250);
+// The status page costs time in proportion to the fleet, so it is renewed often
+// only while somebody reads it.
+constexpr duration kStatusInterval = seconds(5);
+constexpr duration kStatusInterest = seconds(10);
 // A VM without news of the configuration serves keyed routes for this long.
 constexpr duration kCurrencyLimit = seconds(5);
 
@@ -55,7 +59,10 @@
   if (now >= next_currency_) {
     next_currency_ = now + kCurrencyInterval;
     UpdateCurrency(now);
-    PublishStatus();
+    if (now >= next_status_ || now - status_asked_.load() < kStatusInterest) {
+      next_status_ = now + kStatusInterval;
+      PublishStatus();
+    }
   }
 }
 
@@ -68,6 +75,7 @@
 }
 
 std::string control_duty::StatusJson() const {
+  status_asked_ = std::chrono::steady_clock::now();
   const std::lock_guard lock(status_mutex_);
   return status_json_;
 }
--- a/src/runtime/control_duty.h
+++ b/src/runtime/control_duty.h
@@ -3,6 +3,7 @@
 #ifndef TARRAGONDALE_SRC_RUNTIME_CONTROL_DUTY_H_
 #define TARRAGONDALE_SRC_RUNTIME_CONTROL_DUTY_H_
 
+#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -125,7 +126,9 @@
   // Newest report of each member of each group that reached this VM.
   std::map<std::string, std::map<std::string, wire::member_report>> reports_;
   mutable std::mutex status_mutex_;
-  std::string status_json_;            // Guarded by status_mutex_.
+  std::string status_json_;  // Guarded by status_mutex_.
+  mutable std::atomic<time_point> status_asked_{time_point()};
+  time_point next_status_;
   bool ready_ = false;                 // Guarded by status_mutex_.
   std::set<std::string> coordinated_;  // Guarded by status_mutex_.
 };
--- a/src/runtime/daemon.cc
+++ b/src/runtime/daemon.cc
@@ -401,7 +401,7 @@
               return transport_.Send(vm, address, std::move(body));
             },
         .publish_view =
-            [this](fleet::fleet_view_ptr view) {
+            [this](const fleet::fleet_view_ptr& view) {
               view_.store(view);
               PostEntry(entry::fleet_changed{view});
               PostGateway(pool::fleet_changed{view});
