Stop outdated reports and silence from delaying writes after a failover

- A gateway answered an interest with its last status, although its poll had been unanswered for several hundred ms.
The coordinator took the report for a sign of life, ended its suspicion of the primary that was cut off, and started again.
Reports on interest now wait while a poll is overdue.
- The time until a silent connection was given up counted as service time.
A member that became primary again estimated its queue with a mean of 143 ms instead of a few ms and refused the writes that had waited for the failover (`deadline_before_start`, 2 s deadline, gap of 1 s).
Only answers count now.

Both new tests fail without the change that they guard.

--- a/src/pool/member_control.cc
+++ b/src/pool/member_control.cc
@@ -224,7 +224,10 @@
 
 void member_gateway::OnInterest(time_point now, const std::string& vm) {
   monitor_.AddInterest(now, vm);
-  if (monitor_.known() && serving()) {
+  // While a poll is overdue, the last status proves nothing: a coordinator
+  // would take the report for a sign of life and end its suspicion. The answer
+  // to the poll, or its failure, sends the next report.
+  if (monitor_.known() && serving() && !monitor_.Overdue(now)) {
     SendReport(now, vm);
   }
 }
--- a/src/pool/member_gateway.cc
+++ b/src/pool/member_gateway.cc
@@ -502,6 +502,10 @@
       const database::connection_id id = source->id;
       Flush(now, *source);
       if (result) {
+        // Only answers count: the silence before a lost connection is no
+        // service time and would make the queue look longer than it is.
+        service_time_.Add(
+            std::chrono::duration_cast<duration>(now - item->started));
         Finish(now, item, std::move(*result));
       }
       Settle(now, id);
@@ -514,7 +518,6 @@
 void member_gateway::Finish(time_point now,
                             const pending_ptr& item,
                             conclusion result) {
-  service_time_.Add(std::chrono::duration_cast<duration>(now - item->started));
   if (result.code == kNoPrimary) {
     monitor_.PollNow(now);
   }
--- a/src/pool/pool_test.cc
+++ b/src/pool/pool_test.cc
@@ -270,6 +270,30 @@
   EXPECT_GT(f.answers[urgent.id].retry_after_ms, 0);
 }
 
+// Guards against refusals after a fault: the time until a silent connection is
+// given up counted as service time, so that the queue seemed to be longer than
+// the deadlines of its requests.
+TEST(GatewayQueueTest, SilenceIsNoServiceTime) {
+  gateway_fixture f;
+  f.Send(f.Write("a"));
+  f.Send(f.Write("a"));
+  f.RunFor(duration(1500));  // The statement is sent, COMMIT is not.
+  f.member.unresponsive = true;
+  f.RunFor(seconds(3));
+  f.member.unresponsive = false;
+  f.RunFor(seconds(2));
+  std::vector<request_id> sent;
+  for (int i = 0; i < 40; ++i) {
+    auto request = f.Write("b");
+    request.budget_ms = 1000;
+    sent.push_back(f.Send(request));
+  }
+  f.RunFor(seconds(1));
+  for (const request_id& id : sent) {
+    EXPECT_EQ(f.CodeOf(id), kOk);
+  }
+}
+
 // Guards against a silent connection that blocks a slot for ever, and against
 // closing connections while the member itself stalls.
 TEST(GatewayConnectionTest, SilentConnectionIsReplaced) {
@@ -308,6 +332,30 @@
   EXPECT_EQ(f.reports.size(), count);  // The interest is old.
 }
 
+// Guards against a report that calls a silent member reachable: it ended the
+// coordinator's suspicion of a primary that was cut off, which delayed the
+// failover by half a second.
+TEST(GatewayStatusTest, InterestGetsNoOutdatedReport) {
+  gateway_fixture f;
+  f.RunFor(milliseconds(500));
+  f.Step(interest_arrived{"vm-2", {{"g"}}});
+  ASSERT_EQ(f.reports.size(), 1U);
+  f.member.unresponsive = true;
+  f.RunFor(milliseconds(250));
+  const size_t count = f.reports.size();
+  f.Step(interest_arrived{"vm-3", {{"g"}}});
+  EXPECT_EQ(f.reports.size(), count);
+  f.RunFor(seconds(1));
+  ASSERT_GT(f.reports.size(), count);
+  for (size_t i = count; i < f.reports.size(); ++i) {
+    EXPECT_FALSE(f.reports[i].second.reachable);
+  }
+  f.member.unresponsive = false;
+  f.RunFor(milliseconds(1500));
+  EXPECT_EQ(f.reports.back().first, "vm-3");
+  EXPECT_TRUE(f.reports.back().second.reachable);
+}
+
 // Guards against new work on a member that leaves or moves away, and against
 // interrupting what runs.
 TEST(GatewayLifecycleTest, LeavingMovingAndDraining) {
--- a/src/pool/status_monitor.h
+++ b/src/pool/status_monitor.h
@@ -31,6 +31,12 @@
   void PollNow(time_point now) { next_poll_ = std::min(next_poll_, now); }
   void PollSent(time_point now) { next_poll_ = now + options_.status_interval; }
 
+  /// @brief The member counts as reachable, but the poll that follows its last
+  /// status should have been answered by now.
+  bool Overdue(time_point now) const {
+    return reachable_ && now - status_->sampled > 2 * options_.status_interval;
+  }
+
   duration Limit() const { return limit_.Limit(); }
   bool known() const { return status_.has_value(); }
   bool reachable() const { return reachable_; }
