--- a/src/runtime/daemon.cc
+++ b/src/runtime/daemon.cc
@@ -282,21 +282,21 @@
   // --- Entry ---
 
   duty_thread<entry::event>::functions EntryFunctions() {
-    return {.handle = [this](time_point now,
-                             entry::event event) { StepEntry(now, event); },
-            .tick =
-                [this](time_point now) {
-                  StepEntry(now, entry::tick{});
-                  if (now >= next_entry_metrics_) {
-                    next_entry_metrics_ = now + kMetricsInterval;
-                    metrics_.SetEntry(router_.metrics(), router_.in_flight());
-                  }
-                },
-            .next_deadline = [this]() -> std::optional<time_point> {
-              return std::min(
-                  router_.NextDeadline().value_or(next_entry_metrics_),
-                  next_entry_metrics_);
-            }};
+    return {
+        .handle = [this](time_point now,
+                         const entry::event& event) { StepEntry(now, event); },
+        .tick =
+            [this](time_point now) {
+              StepEntry(now, entry::tick{});
+              if (now >= next_entry_metrics_) {
+                next_entry_metrics_ = now + kMetricsInterval;
+                metrics_.SetEntry(router_.metrics(), router_.in_flight());
+              }
+            },
+        .next_deadline = [this]() -> std::optional<time_point> {
+          return std::min(router_.NextDeadline().value_or(next_entry_metrics_),
+                          next_entry_metrics_);
+        }};
   }
 
   void StepEntry(time_point now, const entry::event& event) {
@@ -334,21 +334,22 @@
   // --- Gateway ---
 
   duty_thread<pool::event>::functions GatewayFunctions() {
-    return {.handle = [this](time_point now,
-                             pool::event event) { StepGateway(now, event); },
-            .tick =
-                [this](time_point now) {
-                  StepGateway(now, pool::tick{});
-                  if (now >= next_gateway_metrics_) {
-                    next_gateway_metrics_ = now + kMetricsInterval;
-                    metrics_.SetGateway(gateway_.metrics());
-                  }
-                },
-            .next_deadline = [this]() -> std::optional<time_point> {
-              return std::min(
-                  gateway_.NextDeadline().value_or(next_gateway_metrics_),
-                  next_gateway_metrics_);
-            }};
+    return {
+        .handle = [this](time_point now,
+                         const pool::event& event) { StepGateway(now, event); },
+        .tick =
+            [this](time_point now) {
+              StepGateway(now, pool::tick{});
+              if (now >= next_gateway_metrics_) {
+                next_gateway_metrics_ = now + kMetricsInterval;
+                metrics_.SetGateway(gateway_.metrics());
+              }
+            },
+        .next_deadline = [this]() -> std::optional<time_point> {
+          return std::min(
+              gateway_.NextDeadline().value_or(next_gateway_metrics_),
+              next_gateway_metrics_);
+        }};
   }
 
   void StepGateway(time_point now, const pool::event& event) {
