--- a/src/measure/caller.cc
+++ b/src/measure/caller.cc
@@ -54,15 +54,16 @@
       }
       stream_.socket().set_option(net::ip::tcp::no_delay(true));
     }
-    http::response<http::string_body> answer;
+    http::response_parser<http::string_body> parser;
     http::async_write(stream_, request, finish);
     if (!Run(error)) {
       return std::nullopt;
     }
-    http::async_read(stream_, buffer_, answer, finish);
+    http::async_read(stream_, buffer_, parser, finish);
     if (!Run(error)) {
       return std::nullopt;
     }
+    auto answer = parser.release();
     if (!answer.keep_alive()) {
       Close();
     }
