Set what the daemon's threads read before they start

Cause: the control thread was started before the store's follower was created and read its pointer without synchronisation; the HTTP front end also served before the control part existed, whose status a request could then ask for. Change: the HTTP server takes its address first (Listen) and serves last; the follower is created before the threads start. Before: system_test under ThreadSanitizer passes 21 tests with 18 reports, all on the follower's pointer. After: 21 tests, exit code 0, no report.

Reports of sanitizers are no longer swallowed by the tests' capture of standard error.

--- a/src/runtime/daemon.cc
+++ b/src/runtime/daemon.cc
@@ -110,7 +110,7 @@
     if (const status problem = transport_.Start(settings_.peer_address)) {
       return problem;
     }
-    if (const status problem = http_.Start()) {
+    if (const status problem = http_.Listen()) {
       return problem;
     }
     control_ =
@@ -122,10 +122,15 @@
       PostControl(std::move(event));
     });
     driver_.Start();
+    // The threads of the HTTP front end and of control read these members, so
+    // they start after the members are set; earlier events wait in the rings.
+    StartFollowing();
     entry_thread_.Start();
     gateway_thread_.Start();
     control_thread_.Start();
-    StartFollowing();
+    if (const status problem = http_.Start()) {
+      return problem;
+    }
     started_ = true;
     Log(log_level::kInfo, log_part::kMain,
         "VM {} serves callers on {} and VMs on {}.", settings_.vm_name,
--- a/src/runtime/http_server.cc
+++ b/src/runtime/http_server.cc
@@ -53,7 +53,7 @@
         retry_timer_(context_),
         work_(asio::make_work_guard(context_)) {}
 
-  status Start() {
+  status Listen() {
     const auto endpoint = ParseEndpoint(options_.address);
     if (!endpoint) {
       return endpoint.error();
@@ -73,6 +73,15 @@
           "can't listen on " + options_.address + ": " + error.message()};
     }
     port_ = acceptor_.local_endpoint().port();
+    return std::nullopt;
+  }
+
+  status Start() {
+    if (!acceptor_.is_open()) {
+      if (const status problem = Listen()) {
+        return problem;
+      }
+    }
     Accept();
     thread_ = std::thread([this] { context_.run(); });
     return std::nullopt;
@@ -184,6 +193,10 @@
   impl_->Stop();
 }
 
+status http_server::Listen() {
+  return impl_->Listen();
+}
+
 status http_server::Start() {
   return impl_->Start();
 }
--- a/src/runtime/http_server.h
+++ b/src/runtime/http_server.h
@@ -60,6 +60,10 @@
   /// address can't be listened on.
   status Start();
 
+  /// @brief Takes the address without serving, so that the port is known.
+  /// `Start` does it if it was not done before.
+  status Listen();
+
   /// @brief Sends an answer. Thread-safe.
   void Answer(entry::answer_caller answer);
 
@@ -73,7 +77,7 @@
   /// @brief Closes all connections and ends the thread.
   void Stop();
 
-  /// @brief Port that the server listens on, after `Start`.
+  /// @brief Port that the server listens on, after `Start` or `Listen`.
   uint16_t port() const;
 
   const http_metrics& metrics() const;
--- a/src/system/fleet_fixture.h
+++ b/src/system/fleet_fixture.h
@@ -7,7 +7,9 @@
 #include <gtest/gtest.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <chrono>
+#include <cstdint>
 #include <cstdio>
 #include <functional>
 #include <memory>
@@ -22,6 +24,11 @@
 #include "tarragondale/standin.h"
 #include "tarragondale/store.h"
 
+#if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
+#include <sanitizer/common_interface_defs.h>
+#define TARRAGONDALE_SANITIZER_REPORTS
+#endif
+
 namespace tarragondale::system_test {
 
 /// @brief Polls until the condition holds; false after `kPatience`.
@@ -41,9 +48,17 @@
  public:
   error_capture() : file_(std::tmpfile()), saved_(dup(STDERR_FILENO)) {
     dup2(fileno(file_), STDERR_FILENO);
+#ifdef TARRAGONDALE_SANITIZER_REPORTS
+    // Reports must be seen even if the program ends at once.
+    __sanitizer_set_report_fd(
+        reinterpret_cast<void*>(static_cast<intptr_t>(saved_)));
+#endif
   }
   ~error_capture() {
     dup2(saved_, STDERR_FILENO);
+#ifdef TARRAGONDALE_SANITIZER_REPORTS
+    __sanitizer_set_report_fd(reinterpret_cast<void*>(STDERR_FILENO));
+#endif
     close(saved_);
     std::fclose(file_);
   }
@@ -141,7 +156,7 @@
       ASSERT_NO_FATAL_FAILURE(StartDaemon(i));
     }
     for (size_t i = 0; i < daemons_.size(); ++i) {
-      ASSERT_TRUE(WaitFor([&] { return IsReady(i); })) << "vm-" << i + 1;
+      ASSERT_TRUE(WaitFor([&] { return IsReady(i); })) << AdminStatus(i).dump();
     }
   }
 
