--- a/src/capacity/connections.cc
+++ b/src/capacity/connections.cc
@@ -97,7 +97,10 @@
   handlers.metrics = [] { return std::string(); };
   handlers.status = [] { return std::string(); };
   handlers.drain = [] {};
-  handlers.switchover = [](const runtime::switchover_request& /*request*/) {};
+  handlers.answered = [](result_code /*code*/, duration /*span*/) {};
+  handlers.switchover = [](const runtime::switchover_request& /*request*/) {
+    return false;
+  };
   runtime::http_options options;
   options.address = "127.0.0.1:0";
   runtime::http_server server(options, std::move(handlers));
--- a/src/system/http_caller.h
+++ b/src/system/http_caller.h
@@ -91,14 +91,15 @@
   /// @brief Waits for the answer to the last request that was sent.
   http_reply Receive() {
     http_reply reply;
-    http::response<http::string_body> response;
+    http::response_parser<http::string_body> parser;
     if (!Run([&](auto done) {
-          http::async_read(*stream_, buffer_, response,
+          http::async_read(*stream_, buffer_, parser,
                            [done](auto error, size_t) { done(error); });
         })) {
       return reply;
     }
-    reply.status = response.result_int();
+    const auto& response = parser.get();
+    reply.status = static_cast<int>(response.result_int());
     reply.text = response.body();
     reply.body = json::parse(reply.text, nullptr, false);
     reply.session = std::string(response["Tarragondale-Session"]);
--- a/src/system/request_test.cc
+++ b/src/system/request_test.cc
@@ -191,7 +191,7 @@
     http_caller caller = Caller(daemon);
     // Refusals name what they refuse.
     caller.Post("/v1/execute", Body("orders", "read", Count("x")),
-                {id + "." + secret + "x", "", ""});
+                {fmt::format("{}.{}x", id, secret), "", ""});
     caller.Post("/v1/execute", {{"route", secret}}, {key_, "", ""});
   }
   const std::string logged = errors_.Text();
