--- a/src/capacity/control_duty.cc
+++ b/src/capacity/control_duty.cc
@@ -77,7 +77,8 @@
                 [this](const fleet::fleet_view_ptr& /*view*/) { ++views; },
             .publish_currency = [](bool /*current*/) {},
             .command_database =
-                [](const database::command& /*command*/) { return true; }};
+                [](const database::command& /*command*/) { return true; },
+            .on_notice = [](const group::notice& /*notice*/) {}};
   }
 
   time_point now_ = TimeFromMs(0);
