Make the system tests use the group before they wait for its reports

system_test stalled in about one of 200 starts: a VM that joins after it has seen the others never coordinates the group, so it asks for no reports until a request uses the group, and the fixture sent its first request only after all reports were there. The read now comes first; the conditions are the same.

--- a/src/measure/cluster.cc
+++ b/src/measure/cluster.cc
@@ -207,7 +207,8 @@
   const auto alive = [](const json& vm) { return vm["state"] == "alive"; };
   const auto complete = [](const json& group) {
     const json& members = group["members"];
-    return group["primary"] != "" && members.size() == kSuffixes.size() &&
+    return !group["primary"].get<std::string>().empty() &&
+           members.size() == kSuffixes.size() &&
            std::all_of(members.begin(), members.end(), [](const json& each) {
              return each["reachable"] == true;
            });
--- a/src/system/fleet_fixture.h
+++ b/src/system/fleet_fixture.h
@@ -278,6 +278,11 @@
   /// @brief True once a daemon knows all VMs, reaches all members and serves
   /// a request.
   bool IsReady(size_t daemon) const {
+    // The read comes first: a VM hears of members in other VMs' care only while
+    // it uses their group.
+    if (!Execute(daemon, Body("orders", "read", Count("none"))).done()) {
+      return false;
+    }
     const json status = AdminStatus(daemon);
     if (status.value("configuration_version", 0) == 0 ||
         status["groups"].empty() || status["vms"].size() != daemons_.size()) {
@@ -290,8 +295,7 @@
     return !group["primary"].get<std::string>().empty() &&
            group["members"].size() == 3 &&
            std::all_of(group["members"].begin(), group["members"].end(),
-                       reachable) &&
-           Execute(daemon, Body("orders", "read", Count("none"))).done();
+                       reachable);
   }
 
   // --- Members ---
