--- a/scripts/measure.d/reads.sh
+++ b/scripts/measure.d/reads.sh
@@ -1,23 +1,2 @@
 #!/usr/bin/env bash
-# Runs `measure reads` for both deployments, or for the one that the option
-# --deployment names. Other options are passed on; see `measure --help`.
-# Exit code 1: a bound is broken.
-set -euo pipefail
-cmake -G Ninja -S . -B build >/dev/null
-ninja -C build -j"${TARRAGONDALE_JOBS:-3}" measure >/dev/null
-commit=$(git rev-parse --short HEAD)
-git diff --quiet HEAD || commit=$commit-modified
-deployments=(lin-shun-fa blue-mahoe)
-options=()
-for each in "$@"; do
-  case "$each" in
-    --deployment=*) deployments=("${each#*=}") ;;
-    *) options+=("$each") ;;
-  esac
-done
-code=0
-for each in "${deployments[@]}"; do
-  build/src/measure reads --deployment="$each" --commit="$commit" \
-    "${options[@]}" || code=1
-done
-exit "$code"
+exec bash "$(dirname "$0")/../measure_deployments.sh" reads "$@"
--- a/src/runtime/peer_transport_test.cc
+++ b/src/runtime/peer_transport_test.cc
@@ -38,6 +38,13 @@
   peer_transport transport;
 };
 
+// An address that was in use a moment ago, so that nothing listens there.
+std::string UnusedAddress() {
+  endpoint_fake reserved("vm-b");
+  EXPECT_FALSE(reserved.transport.Start("127.0.0.1:0"));
+  return reserved.address();
+}
+
 wire::message_body Interest(const std::string& group) {
   return wire::group_interest{{group}};
 }
@@ -70,12 +77,7 @@
 TEST(PeerTransportTest, RefusedMessagesNeverArrive) {
   endpoint_fake a("vm-a");
   ASSERT_FALSE(a.transport.Start("127.0.0.1:0"));
-  std::string address;
-  {
-    endpoint_fake reserved("vm-b");
-    ASSERT_FALSE(reserved.transport.Start("127.0.0.1:0"));
-    address = reserved.address();
-  }
+  const std::string address = UnusedAddress();
   EXPECT_FALSE(a.transport.Send("vm-b", address, Interest("early")));
   endpoint_fake b("vm-b");
   ASSERT_FALSE(b.transport.Start(address));
@@ -148,12 +150,7 @@
 TEST(PeerTransportTest, LinkThatDoesNotComeUpIsDialledAnew) {
   endpoint_fake a("vm-a");
   ASSERT_FALSE(a.transport.Start("127.0.0.1:0"));
-  std::string address;
-  {
-    endpoint_fake reserved("vm-b");
-    ASSERT_FALSE(reserved.transport.Start("127.0.0.1:0"));
-    address = reserved.address();
-  }
+  const std::string address = UnusedAddress();
   EXPECT_FALSE(a.transport.Send("vm-b", address, Interest("x")));
   const time_point later = std::chrono::steady_clock::now() + seconds(3);
   a.transport.Maintain(later, seconds(2), seconds(60));
