Publish the coordinated groups where they change; drop an unused time

The set behind /v1/admin/switchover was renewed with the status page, which is now built only every 5 s unless somebody reads it, so the tool could be told not_owner for that long. The set is renewed when coordinators are placed, and the page no longer copies it. peer_transport kept the time of the last message of each link and never read it.

--- a/src/runtime/control_duty.cc
+++ b/src/runtime/control_duty.cc
@@ -261,6 +261,11 @@
     const bool keep = found != groups.end() && IsPlacedHere(name);
     next = keep ? std::next(next) : coordinators_.erase(next);
   }
+  const std::lock_guard lock(status_mutex_);
+  coordinated_.clear();
+  for (const auto& [name, coordinated] : coordinators_) {
+    coordinated_.insert(name);
+  }
 }
 
 bool control_duty::IsPlacedHere(const std::string& group) const {
@@ -337,10 +342,6 @@
   const std::lock_guard lock(status_mutex_);
   status_json_ = body.dump() + "\n";
   ready_ = configuration_ != nullptr && !leaving_;
-  coordinated_.clear();
-  for (const auto& [group, coordinated] : coordinators_) {
-    coordinated_.insert(group);
-  }
 }
 
 }  // namespace tarragondale::runtime
--- a/src/runtime/peer_transport.cc
+++ b/src/runtime/peer_transport.cc
@@ -46,7 +46,6 @@
   std::atomic<bool> broken{false};
   // Guarded by the transport's mutex.
   time_point dialled;
-  time_point last_received;
   std::optional<time_point> first_unanswered;
   time_point last_sent;
 };
@@ -211,7 +210,6 @@
     const std::lock_guard lock(mutex_);
     const auto found = links_.find(decoded->sender);
     if (found != links_.end()) {
-      found->second->last_received = std::chrono::steady_clock::now();
       found->second->first_unanswered.reset();
     }
   }
