--- a/include/tarragondale/base/log.h
+++ b/include/tarragondale/base/log.h
@@ -24,6 +24,8 @@
   kStore,
   kConfig,
   kStandin,
+  kSession,
+  kPrimary,
 };
 
 /// @brief Level with this name (`debug`, `info`, `warning`, `error`).
@@ -35,6 +37,13 @@
 /// @brief Drops lines below this level from now on. Thread-safe.
 void SetLogLevel(log_level level);
 
+/// @brief Takes each finished line, with its end, in place of standard error.
+/// Must be thread-safe and must not block.
+using log_writer = void (*)(std::string_view line);
+
+/// @brief Sends all lines to `writer` from now on; null: to standard error.
+void SetLogWriter(log_writer writer);
+
 /// @brief Writes `<UTC time> <level> <part>: <sentence>` as one line.
 /// Thread-safe. Never pass keys or statement text.
 void WriteLog(log_level level, log_part part, std::string_view sentence);
--- a/include/tarragondale/base/result_code.h
+++ b/include/tarragondale/base/result_code.h
@@ -37,6 +37,8 @@
   kTransactionNotFound = 1010,
   kIdempotencyKeyReused = 1011,
   kTooManyConnections = 1012,
+  kPreparedStatementUnknown = 1013,
+  kStatementMalformed = 1014,
   kKeyMissing = 2001,
   kKeyInvalid = 2002,
   kConfigurationStale = 2003,
--- a/include/tarragondale/chart.h
+++ b/include/tarragondale/chart.h
@@ -176,6 +176,41 @@
       "committed", "roll_back", "rolled_back", "fail"};
 };
 
+/// @brief Names of the handover chart.
+struct handover {
+  enum class state : uint8_t {
+    kRecording,
+    kStopping,
+    kChoosing,
+    kPromoting,
+    kConfirming,
+    kPublishing,
+    kDone,
+    kAbandoned
+  };
+  enum class event : uint8_t {
+    kRecorded,
+    kFailed,
+    kStopped,
+    kChosen,
+    kAlreadyPrimary,
+    kRestored,
+    kAccepted,
+    kRefused,
+    kEffective,
+    kTimedOut,
+    kPublished
+  };
+  static constexpr std::string_view kName = "handover";
+  static constexpr std::array<std::string_view, 8> kStates = {
+      "recording",  "stopping",   "choosing", "promoting",
+      "confirming", "publishing", "done",     "abandoned"};
+  static constexpr std::array<std::string_view, 11> kEvents = {
+      "recorded",        "failed",    "stopped",  "chosen",
+      "already_primary", "restored",  "accepted", "refused",
+      "effective",       "timed_out", "published"};
+};
+
 /// @brief The checked definition of an embedded chart. Ends the program if the
 /// chart is invalid or does not match the names, which `CheckEmbedded` and a
 /// test rule out.
--- a/include/tarragondale/config/settings.h
+++ b/include/tarragondale/config/settings.h
@@ -4,6 +4,7 @@
 #define TARRAGONDALE_CONFIG_SETTINGS_H_
 
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -14,9 +15,16 @@
 
 namespace tarragondale::config {
 
+/// @brief How callers, databases and the platform are met.
+enum class edge_kind : uint8_t {
+  kHttp,  ///< Callers by HTTP, databases by libpq, a VM list and an etcd store.
+  kLine,  ///< The line protocol and the store of the platform in `platform/`.
+};
+
 /// @brief All settings with their defaults. Members without a default must be
-/// in the file.
+/// in the file, if the chosen edge uses them.
 struct settings {
+  edge_kind edge = edge_kind::kHttp;
   std::string vm_name;
   std::string availability_zone;
   std::string region;
@@ -38,6 +46,14 @@
   std::string token_key;            ///< 32 raw bytes.
   std::string operator_key_digest;  ///< 32 raw bytes.
   log_level level = log_level::kInfo;
+  std::string caller_address;     ///< IP:port for callers of the line edge.
+  std::string readiness_address;  ///< IP:port for the balancer and metrics.
+  std::string promotion_address;  ///< IP:port that promotes members.
+  std::vector<std::string> seed_peers;  ///< IP:port of some VMs; may be stale.
+  std::vector<std::string> zones;       ///< `zone:region`.
+  int64_t leaving_ms = 7000;
+  int64_t grace_ms = 6000;
+  int64_t open_files = 4096;
 
   bool operator==(const settings&) const = default;
 };
@@ -51,12 +67,15 @@
   kInteger,
   kHex32,  ///< 64 hexadecimal digits; never shown in errors.
   kLogLevel,
+  kEdge,
+  kZoneList,  ///< `zone:region`, separated by commas.
 };
 
 using setting_member = std::variant<std::string settings::*,
                                     int64_t settings::*,
                                     std::vector<std::string> settings::*,
-                                    log_level settings::*>;
+                                    log_level settings::*,
+                                    edge_kind settings::*>;
 
 /// @brief One row of the table of settings.
 struct setting_info {
@@ -68,6 +87,8 @@
   int64_t minimum;        ///< For integers.
   int64_t maximum;        ///< For integers.
   std::string_view meaning;
+  /// The only edge that uses the setting; empty: all do.
+  std::optional<edge_kind> edge = std::nullopt;
 };
 
 /// @brief All settings, ordered by section.
@@ -79,6 +100,12 @@
 /// @brief Default as text; empty if the setting must be in the file.
 std::string DefaultText(const setting_info& row);
 
+/// @brief Name of an edge: `http` or `line`.
+std::string_view EdgeName(edge_kind edge);
+
+/// @brief When a setting without a default must be in the file.
+std::string RequirementText(const setting_info& row);
+
 /// @brief Settings, or every error found.
 struct settings_outcome {
   settings value;  ///< Complete only if there are no errors.
--- /dev/null
+++ b/include/tarragondale/leadership.h
@@ -0,0 +1,276 @@
+// Public header of the leadership library: who may use a group's primary, and
+// the change of a primary on a platform that promotes on demand.
+//
+// A group's record in the store names its primary. A VM may use the primary
+// while it has a right: a linearizable read of the record that was sent less
+// than `right_lifetime` ago, while its own registration lasts. Before a
+// promotion the VM that has the duty writes the record as moving. From then on
+// no right can be had or renewed, and it promotes once every registered VM has
+// given its right up, or the last of them has run out.
+#ifndef TARRAGONDALE_LEADERSHIP_H_
+#define TARRAGONDALE_LEADERSHIP_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "tarragondale/base.h"
+#include "tarragondale/interactive.h"
+#include "tarragondale/store/keyspace.h"
+#include "tarragondale/wire.h"
+
+namespace tarragondale::leadership {
+
+/// @brief Prefix of all keys that the fleet writes.
+inline constexpr std::string_view kKeyPrefix = "tarragondale/";
+
+/// @brief A group's record. Its revision in the store is its epoch.
+struct primary_record {
+  std::string member;
+  int64_t term = 0;     ///< In which the member leads; 0: not known.
+  bool moving = false;  ///< The primary is being replaced.
+  std::string writer;   ///< VM and incarnation, to find lost answers.
+  int64_t epoch = 0;
+
+  bool operator==(const primary_record&) const = default;
+};
+
+/// @brief A VM's registration, bound to its lease.
+struct vm_registration {
+  std::string name;
+  std::string peer_address;
+  std::string availability_zone;
+  std::string region;
+  int64_t incarnation = 0;
+
+  bool operator==(const vm_registration&) const = default;
+};
+
+/// @brief Who has the duty to change primaries. Its revision is the fencing
+/// token, which rises with each change of the holder.
+struct duty_record {
+  std::string holder;
+  int64_t incarnation = 0;
+  int64_t token = 0;
+
+  bool operator==(const duty_record&) const = default;
+};
+
+// --- Records in the store ---
+
+std::string PrimaryKey(std::string_view group);
+std::string VmKey(std::string_view vm);
+std::string DutyKey();
+std::string PrimaryPrefix();
+std::string VmPrefix();
+
+std::string EncodePrimary(const primary_record& record);
+std::string EncodeVm(const vm_registration& record);
+std::string EncodeDuty(const duty_record& record);
+
+/// @brief Decodes a record's value. Failure: `store_row_invalid`.
+result<primary_record> DecodePrimary(const store::keyspace::item& item);
+result<vm_registration> DecodeVm(const store::keyspace::item& item);
+result<duty_record> DecodeDuty(const store::keyspace::item& item);
+
+// --- Events ---
+
+/// @brief A key under `kKeyPrefix` changed, or was read. Not necessarily the
+/// newest state.
+struct item_seen {
+  store::keyspace::item now;
+  bool removed = false;
+};
+/// @brief All keys under `kKeyPrefix` were read; keys that are not in it are
+/// gone.
+struct items_loaded {
+  std::vector<store::keyspace::item> items;
+};
+/// @brief Answer to a `call_store`.
+struct store_answered {
+  uint64_t tag = 0;
+  time_point sent;
+  store::keyspace::reply reply;
+};
+struct members_changed {
+  interactive::member_directory_ptr value;
+};
+struct catalogue_changed {
+  interactive::catalogue_ptr value;
+};
+/// @brief Another VM's digest. `echo_sent` is when this VM sent the digest
+/// that the other had received before it sent this one, if any.
+struct digest_arrived {
+  std::string vm;
+  wire::fleet_digest digest;
+  std::optional<time_point> echo_sent;
+};
+struct member_checked {
+  std::string member;
+  std::optional<interactive::member_status> status;
+};
+enum class promotion_result : uint8_t {
+  kAccepted,
+  kRefused,  ///< The member is not running.
+  kUnknown,  ///< No answer, or the platform is overloaded.
+};
+struct promotion_answered {
+  std::string group;
+  std::string member;
+  promotion_result result = promotion_result::kUnknown;
+  std::string reason;
+};
+/// @brief This VM shuts down: it gives the duty up.
+struct drain_started {};
+/// @brief No session is left: it gives up all rights and its registration.
+struct leave_started {};
+struct tick {};
+
+using event = std::variant<item_seen,
+                           items_loaded,
+                           store_answered,
+                           members_changed,
+                           catalogue_changed,
+                           digest_arrived,
+                           member_checked,
+                           promotion_answered,
+                           drain_started,
+                           leave_started,
+                           tick>;
+
+// --- Actions ---
+
+struct call_store {
+  uint64_t tag = 0;
+  store::keyspace::call call;
+};
+struct set_rights {
+  std::map<std::string, interactive::primary_right, std::less<>> by_group;
+};
+/// @brief End all work on the group's primary under epochs below `epoch`
+/// before the next action.
+struct stop_primary_work {
+  std::string group;
+  int64_t epoch = 0;
+};
+/// @brief Send a digest to all VMs now instead of with the next interval.
+struct send_digests {};
+struct check_member {
+  std::string member;
+};
+struct demote_member {
+  std::string member;
+  int64_t term = 0;
+};
+struct promote_member {
+  std::string group;
+  std::string member;
+  std::string holder;
+  int64_t token = 0;
+};
+/// @brief VMs in service, this one included.
+struct fleet_known {
+  std::vector<vm_registration> vms;
+};
+struct note {
+  log_level level = log_level::kInfo;
+  std::string text;
+};
+
+using action = std::variant<call_store,
+                            set_rights,
+                            stop_primary_work,
+                            send_digests,
+                            check_member,
+                            demote_member,
+                            promote_member,
+                            fleet_known,
+                            note>;
+
+struct options {
+  vm_registration self;
+  uint64_t seed = 0;
+
+  duration tick_interval = milliseconds(50);
+  /// Longer than the store's usual outages, since no right is renewed then.
+  duration right_lifetime = milliseconds(6'500);
+  /// Taken off every right for clocks that run at different speeds.
+  duration right_margin = milliseconds(300);
+  duration confirm_interval = milliseconds(1'500);
+  duration registration_lifetime = milliseconds(12'000);
+  duration registration_interval = milliseconds(3'000);
+  duration duty_lifetime = milliseconds(3'000);
+  duration duty_interval = milliseconds(900);
+  /// Part of the duty's lifetime in which its holder does not act any more.
+  duration duty_margin = milliseconds(800);
+  duration store_retry = milliseconds(300);
+
+  /// A primary is suspected after its connections failed for this long.
+  duration suspicion = milliseconds(450);
+  int suspicion_failures = 2;
+  /// Digests older than this say nothing on a member's health.
+  duration report_lifetime = milliseconds(1'500);
+  /// A primary without an entry in the directory is replaced after this.
+  duration gone_limit = milliseconds(2'600);
+  /// Open transactions may end during a planned change.
+  duration planned_stop = milliseconds(600);
+  duration failed_stop = milliseconds(120);
+  duration status_interval = milliseconds(150);
+  /// How long the candidates' statuses are awaited.
+  duration choose_limit = milliseconds(450);
+  duration catch_up_limit = milliseconds(1'500);
+  duration restore_limit = milliseconds(3'000);
+  duration promote_retry = milliseconds(700);
+  duration confirm_limit = milliseconds(2'000);
+  duration demote_interval = milliseconds(400);
+};
+
+/// @brief What the library reads of the session broker.
+struct broker_view {
+  /// See `session_broker::PrimaryWork`.
+  std::function<size_t(std::string_view group, int64_t epoch)> primary_work;
+  /// See `session_broker::HealthOf`.
+  std::function<interactive::member_health(std::string_view member)> health;
+};
+
+/// @brief What this VM tells others of a group's primary.
+struct group_state {
+  primary_record record;
+  int64_t stopped_epoch = 0;  ///< No right below this epoch is held.
+};
+
+/// @brief Rights to use primaries, and their change. A deterministic state
+/// machine: no I/O, threads or clocks; `now` includes suspended time.
+class keeper {
+ public:
+  keeper(options options, broker_view view);
+  ~keeper();
+  keeper(const keeper&) = delete;
+  keeper& operator=(const keeper&) = delete;
+
+  std::vector<action> Step(time_point now, const event& input);
+  time_point NextDeadline() const;
+
+  /// @brief By group, for digests.
+  std::map<std::string, group_state, std::less<>> Groups() const;
+
+  /// @brief When the read of the newest confirmation was sent; empty: never.
+  std::optional<time_point> confirmed_at() const;
+
+  /// @brief True once this VM gave up everything after `leave_started`.
+  bool left() const;
+
+ private:
+  class implementation;
+  std::unique_ptr<implementation> implementation_;
+};
+
+}  // namespace tarragondale::leadership
+
+#endif  // TARRAGONDALE_LEADERSHIP_H_
--- a/include/tarragondale/runtime.h
+++ b/include/tarragondale/runtime.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <string>
 
 #include "tarragondale/base.h"
 #include "tarragondale/config.h"
@@ -43,6 +44,36 @@
   std::unique_ptr<implementation> parts_;
 };
 
+/// @brief The daemon with the line edge: callers and databases speak the
+/// platform's line protocol, and the platform's store holds what must last.
+///
+/// The thread that calls `Run` runs sessions, links, the store client and the
+/// changes of primaries, since a VM has a part of one core and each hand-over
+/// between threads costs a wake-up. The transport between VMs has threads of
+/// its own.
+class line_daemon {
+ public:
+  /// @brief Listens on all addresses. Failure: `setting_invalid`.
+  /// @param path File of the settings, read again on SIGHUP and on a change.
+  static result<std::unique_ptr<line_daemon>> Create(
+      const config::settings& settings,
+      const std::string& path);
+
+  ~line_daemon();
+  line_daemon(const line_daemon&) = delete;
+  line_daemon& operator=(const line_daemon&) = delete;
+
+  /// @brief Runs until SIGTERM or SIGINT and the graceful shutdown after it,
+  /// or until a second signal. True if the shutdown cut nothing.
+  bool Run();
+
+ private:
+  class implementation;
+  explicit line_daemon(std::unique_ptr<implementation> parts);
+
+  std::unique_ptr<implementation> parts_;
+};
+
 }  // namespace tarragondale::runtime
 
 #endif  // TARRAGONDALE_RUNTIME_H_
--- /dev/null
+++ b/include/tarragondale/store/keyspace.h
@@ -0,0 +1,98 @@
+// Calls to a key-value service with revisions, leases and conditions, apart
+// from any service's names and formats.
+#ifndef TARRAGONDALE_STORE_KEYSPACE_H_
+#define TARRAGONDALE_STORE_KEYSPACE_H_
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "tarragondale/base.h"
+
+namespace tarragondale::store::keyspace {
+
+struct item {
+  std::string key = {};
+  std::string value = {};
+  int64_t revision = 0;  ///< Of its last change.
+  int64_t lease = 0;     ///< 0: none.
+
+  bool operator==(const item&) const = default;
+};
+
+/// @brief One change of a key.
+struct change {
+  item now;  ///< Without a value if it was removed.
+  bool removed = false;
+
+  bool operator==(const change&) const = default;
+};
+
+/// @brief Reads all items under a prefix, one page a call. Linearizable.
+struct range_call {
+  std::string prefix;
+  std::string after;  ///< Last key of the previous page; empty: first page.
+};
+
+/// @brief Waits for changes after a revision.
+struct watch_call {
+  std::string prefix;
+  int64_t after = 0;
+  milliseconds wait{0};
+};
+
+struct condition {
+  std::string key;
+  int64_t revision = 0;  ///< 0: the key must not exist.
+};
+
+/// @brief Writes all or nothing.
+struct transaction_call {
+  std::vector<condition> conditions;
+  std::vector<item> writes;  ///< Key, value and lease.
+  std::vector<std::string> removals;
+};
+
+struct grant_call {
+  milliseconds lifetime{0};
+};
+struct renew_call {
+  int64_t lease = 0;
+};
+struct revoke_call {
+  int64_t lease = 0;
+};
+
+using call = std::variant<range_call,
+                          watch_call,
+                          transaction_call,
+                          grant_call,
+                          renew_call,
+                          revoke_call>;
+
+enum class call_status : uint8_t {
+  kDone,
+  kConflict,   ///< A condition does not hold; nothing was written.
+  kNotFound,   ///< The lease has ended.
+  kCompacted,  ///< The changes asked for are no longer kept.
+  kRefused,    ///< Nothing was done: overloaded, rate-limited or not connected.
+  kUnknown,    ///< No answer; a write may have been or may yet be done.
+};
+std::string_view CallStatusName(call_status status);
+
+/// @brief The answer to a call; which members are set depends on the call.
+struct reply {
+  call_status status = call_status::kUnknown;
+  std::string reason;           ///< For people, if not done.
+  std::vector<item> items;      ///< Range; or the conditions' present state.
+  std::vector<change> changes;  ///< Watch.
+  bool more = false;            ///< Range: another page follows.
+  int64_t revision = 0;  ///< Of the service; after a write, of the write.
+  int64_t lease = 0;
+  milliseconds lifetime{0};  ///< Of the lease.
+};
+
+}  // namespace tarragondale::store::keyspace
+
+#endif  // TARRAGONDALE_STORE_KEYSPACE_H_
--- a/include/tarragondale/wire.h
+++ b/include/tarragondale/wire.h
@@ -222,6 +222,62 @@
   bool operator==(const reach_answer&) const = default;
 };
 
+/// @brief What a VM tells the others of a group's primary.
+struct primary_state {
+  std::string group;
+  std::string member;
+  int64_t term = 0;
+  int64_t epoch = 0;          ///< Revision of the group's record in the store.
+  bool moving = false;        ///< The primary is being replaced.
+  int64_t stopped_epoch = 0;  ///< The sender holds no right below this epoch.
+  log_position position;      ///< Newest observed position of the primary,
+  int64_t position_age_ms = -1;  ///< observed this long ago; -1: none.
+  int64_t answer_age_ms = -1;    ///< The primary last answered; -1: never.
+  int64_t failing_ms = -1;  ///< Connections to it fail since; -1: they don't.
+
+  bool operator==(const primary_state&) const = default;
+};
+
+/// @brief What a VM admitted for an organisation.
+struct organisation_usage {
+  std::string organisation;
+  uint64_t admitted = 0;     ///< Operations since the VM's start.
+  int64_t demand_per_s = 0;  ///< Operations that arrive there.
+
+  bool operator==(const organisation_usage&) const = default;
+};
+
+/// @brief Periodic state of a VM, to each other VM.
+struct fleet_digest {
+  uint64_t sequence = 0;  ///< Rises with each digest to the receiver.
+  uint64_t echo = 0;      ///< Newest sequence received from the receiver.
+  int64_t incarnation = 0;
+  std::string peer_address;  ///< Of the sender, for VMs that don't know it.
+  int64_t configuration_version = 0;
+  /// The sender's newest linearizable read of all primaries' records was sent
+  /// this long ago; -1: never.
+  int64_t confirmed_age_ms = -1;
+  std::vector<primary_state> primaries;
+  std::vector<organisation_usage> usage;
+
+  bool operator==(const fleet_digest&) const = default;
+};
+
+/// @brief Asks for the sender's configuration if it is newer than `version`.
+struct configuration_request {
+  int64_t version = 0;
+
+  bool operator==(const configuration_request&) const = default;
+};
+
+/// @brief A configuration as it lies in the store.
+struct configuration_copy {
+  int64_t version = 0;
+  std::string value;
+
+  bool operator==(const configuration_copy&) const = default;
+};
+
 /// @brief All message bodies; the index in the variant is the type's number.
 /// New types go to the end.
 using message_body = std::variant<execute_request,
@@ -232,7 +288,10 @@
                                   probe,
                                   probe_answer,
                                   reach_request,
-                                  reach_answer>;
+                                  reach_answer,
+                                  fleet_digest,
+                                  configuration_request,
+                                  configuration_copy>;
 
 struct message {
   std::string sender;  ///< Name of the VM that sent it.
--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -14,9 +14,14 @@
 
 constexpr std::array<std::string_view, 4> kLevelNames = {"debug", "info",
                                                          "warning", "error"};
-constexpr std::array<std::string_view, 10> kPartNames = {
-    "main",     "http", "entry", "gateway", "control",
-    "database", "peer", "store", "config",  "standin"};
+constexpr std::array<std::string_view, 12> kPartNames = {
+    "main", "http",  "entry",  "gateway", "control", "database",
+    "peer", "store", "config", "standin", "session", "primary"};
+
+std::atomic<log_writer>& Writer() {
+  static std::atomic<log_writer> writer{nullptr};
+  return writer;
+}
 
 std::atomic<log_level>& MinimumLevel() {
   static std::atomic<log_level> level{log_level::kInfo};
@@ -34,6 +39,10 @@
   return std::nullopt;
 }
 
+void SetLogWriter(log_writer writer) {
+  Writer().store(writer, std::memory_order_relaxed);
+}
+
 std::string_view LogPartName(log_part part) {
   return kPartNames[static_cast<size_t>(part)];
 }
@@ -54,6 +63,9 @@
       "{:%Y-%m-%dT%H:%M:%S}.{:03}Z {} {}: {}\n",
       fmt::gmtime(std::chrono::system_clock::to_time_t(now)), ms,
       kLevelNames[static_cast<size_t>(level)], LogPartName(part), sentence);
+  if (const log_writer writer = Writer().load(std::memory_order_relaxed)) {
+    return writer(line);
+  }
   // One call for each line keeps lines of different threads apart.
   std::fwrite(line.data(), 1, line.size(), stderr);
 }
--- a/src/chart/embedded.S
+++ b/src/chart/embedded.S
@@ -11,5 +11,6 @@
         embed   tarragondale_chart_vm_lifecycle, "charts/vm_lifecycle.chart"
         embed   tarragondale_chart_connection, "charts/connection.chart"
         embed   tarragondale_chart_transaction, "charts/transaction.chart"
+        embed   tarragondale_chart_handover, "charts/handover.chart"
 
         .section .note.GNU-stack, "", %progbits
--- a/src/chart/machine.cc
+++ b/src/chart/machine.cc
@@ -9,6 +9,7 @@
 extern const char tarragondale_chart_vm_lifecycle[];
 extern const char tarragondale_chart_connection[];
 extern const char tarragondale_chart_transaction[];
+extern const char tarragondale_chart_handover[];
 }
 
 namespace tarragondale::chart {
@@ -31,7 +32,8 @@
       Bind<failover>(tarragondale_chart_failover),
       Bind<vm_lifecycle>(tarragondale_chart_vm_lifecycle),
       Bind<connection>(tarragondale_chart_connection),
-      Bind<transaction>(tarragondale_chart_transaction)};
+      Bind<transaction>(tarragondale_chart_transaction),
+      Bind<handover>(tarragondale_chart_handover)};
   return charts;
 }
 
--- a/src/config/config_test.cc
+++ b/src/config/config_test.cc
@@ -116,10 +116,10 @@
   std::string expected;
   for (const setting_info& row : SettingsTable()) {
     const std::string standard = DefaultText(row);
-    expected +=
-        fmt::format("| `{}` | `{}` | {} | {} | {} |\n", row.section, row.name,
-                    AllowedText(row), standard.empty() ? "required" : standard,
-                    row.meaning);
+    expected += fmt::format("| `{}` | `{}` | {} | {} | {} |\n", row.section,
+                            row.name, AllowedText(row),
+                            standard.empty() ? RequirementText(row) : standard,
+                            row.meaning);
   }
   const size_t start = docs.find("| `vm`");
   ASSERT_NE(start, std::string::npos);
--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -49,6 +49,12 @@
   }
 }
 
+bool IsZoneAndRegion(std::string_view text) {
+  const size_t colon = text.find(':');
+  return colon != std::string_view::npos && IsName(text.substr(0, colon)) &&
+         IsName(text.substr(colon + 1));
+}
+
 bool Store(const setting_info& row, std::string_view text, settings& value) {
   switch (row.type) {
     case setting_type::kName:
@@ -76,6 +82,18 @@
           level.value_or(log_level::kInfo);
       return level.has_value();
     }
+    case setting_type::kEdge: {
+      const auto edge = text == EdgeName(edge_kind::kLine) ? edge_kind::kLine
+                                                           : edge_kind::kHttp;
+      value.*std::get<edge_kind settings::*>(row.member) = edge;
+      return text == EdgeName(edge);
+    }
+    case setting_type::kZoneList: {
+      auto& list =
+          value.*std::get<std::vector<std::string> settings::*>(row.member);
+      list = SplitList(text);
+      return std::all_of(list.begin(), list.end(), IsZoneAndRegion);
+    }
     case setting_type::kInteger:
       break;
   }
@@ -98,7 +116,8 @@
     next_ = 0;
     ini_parse_stream(&parser::ReadLine, this, &parser::TakeKey, this);
     for (const setting_info& row : SettingsTable()) {
-      if (DefaultText(row).empty() && !seen_.contains(&row)) {
+      const bool used = !row.edge || *row.edge == outcome_.value.edge;
+      if (used && DefaultText(row).empty() && !seen_.contains(&row)) {
         Fail(0, fmt::format("{}.{} is missing; allowed: {}", row.section,
                             row.name, AllowedText(row)));
       }
--- a/src/config/settings_table.cc
+++ b/src/config/settings_table.cc
@@ -17,6 +17,9 @@
 constexpr int64_t kMaxTimeoutMs = 3600000;
 constexpr int64_t kMaxBytes = 67108864;
 
+constexpr edge_kind kHttp = edge_kind::kHttp;
+constexpr edge_kind kLine = edge_kind::kLine;
+
 constexpr std::array kTable = std::to_array<setting_info>({
     {"vm", "name", kName, &settings::vm_name, "", 0, 0,
      "Name of this VM; unique in the fleet."},
@@ -24,18 +27,19 @@
      "Zone of this VM."},
     {"vm", "region", kName, &settings::region, "", 0, 0, "Region of the zone."},
     {"vm", "http_address", kAddress, &settings::http_address, "", 0, 0,
-     "Where callers and operators connect."},
+     "Where callers and operators connect.", kHttp},
     {"vm", "peer_address", kAddress, &settings::peer_address, "", 0, 0,
      "Where other VMs connect."},
     {"store", "endpoints", kAddressList, &settings::store_endpoints, "", 0, 0,
      "Addresses of the key-value service, tried in order."},
     {"store", "region", kName, &settings::store_region, "", 0, 0,
      "Region of the key-value service; a VM that reaches no VM there and no "
-     "store is cut off."},
+     "store is cut off.",
+     kHttp},
     {"store", "timeout_ms", kInteger, &settings::store_timeout_ms, "ms", 10,
      60000, "Time limit of one call to the key-value service."},
     {"vm_list", "url", kUrl, &settings::vm_list_url, "", 0, 0,
-     "The platform's list of VMs."},
+     "The platform's list of VMs.", kHttp},
     {"limits", "body_bytes", kInteger, &settings::body_bytes, "bytes", 1024,
      kMaxBytes, "Largest body of a request."},
     {"limits", "header_bytes", kInteger, &settings::header_bytes, "bytes", 1024,
@@ -60,13 +64,33 @@
      "An interactive transaction without a request is rolled back after this "
      "time."},
     {"session", "token_key", kHex32, &settings::token_key, "", 0, 0,
-     "Secret that signs session tokens; the same on all VMs."},
+     "Secret that signs session tokens; the same on all VMs.", kHttp},
     {"admin", "operator_key_digest", kHex32, &settings::operator_key_digest, "",
-     0, 0, "SHA-256 of the operator key."},
+     0, 0, "SHA-256 of the operator key.", kHttp},
     {"log", "level", kLogLevel, &settings::level, "", 0, 0,
      "Least severe level that is written."},
+    {"edge", "kind", kEdge, &settings::edge, "", 0, 0,
+     "How callers, databases and the platform are met."},
+    {"line", "caller_address", kAddress, &settings::caller_address, "", 0, 0,
+     "Where callers of the line protocol connect.", kLine},
+    {"line", "readiness_address", kAddress, &settings::readiness_address, "", 0,
+     0, "Where the balancer asks for readiness, and metrics are served.",
+     kLine},
+    {"line", "promotion_address", kAddress, &settings::promotion_address, "", 0,
+     0, "The platform's interface that promotes database members.", kLine},
+    {"line", "seed_peers", kAddressList, &settings::seed_peers, "", 0, 0,
+     "Peer addresses of some VMs, asked while the store gives none.", kLine},
+    {"line", "zones", kZoneList, &settings::zones, "", 0, 0,
+     "All availability zones with their regions.", kLine},
+    {"line", "leaving_ms", kInteger, &settings::leaving_ms, "ms", 1000, 600000,
+     "A database member that leaves gets no new work after this time.", kLine},
+    {"line", "grace_ms", kInteger, &settings::grace_ms, "ms", 1000, 600000,
+     "Time from SIGTERM until the process is killed.", kLine},
+    {"line", "open_files", kInteger, &settings::open_files, "", 256, 1000000,
+     "Descriptors that the process may use.", kLine},
 });
 
+constexpr std::array<std::string_view, 2> kEdges = {"http", "line"};
 constexpr std::array<std::string_view, 4> kLevels = {"debug", "info", "warning",
                                                      "error"};
 
@@ -98,6 +122,10 @@
       return "64 hexadecimal digits";
     case kLogLevel:
       return fmt::format("{}", fmt::join(kLevels, ", "));
+    case kEdge:
+      return fmt::format("{}", fmt::join(kEdges, ", "));
+    case kZoneList:
+      return "zone:region, separated by commas";
     case kInteger:
       break;
   }
@@ -113,9 +141,21 @@
   if (const auto* level = std::get_if<log_level settings::*>(&row.member)) {
     return std::string(kLevels[static_cast<size_t>(defaults.**level)]);
   }
+  if (const auto* edge = std::get_if<edge_kind settings::*>(&row.member)) {
+    return std::string(EdgeName(defaults.**edge));
+  }
   return "";
 }
 
+std::string_view EdgeName(edge_kind edge) {
+  return kEdges[static_cast<size_t>(edge)];
+}
+
+std::string RequirementText(const setting_info& row) {
+  return row.edge ? fmt::format("required by the edge {}", EdgeName(*row.edge))
+                  : "required";
+}
+
 bool IsAddress(std::string_view text) {
   const size_t colon = text.rfind(':');
   if (colon == std::string_view::npos || !IsPort(text.substr(colon + 1))) {
--- a/src/daemon/daemon_main.cc
+++ b/src/daemon/daemon_main.cc
@@ -5,6 +5,7 @@
 #include <cstdio>
 #include <thread>
 
+#include "src/runtime/line/log_output.h"
 #include "tarragondale/chart.h"
 #include "tarragondale/config.h"
 #include "tarragondale/runtime.h"
@@ -77,6 +78,17 @@
   return drained ? kExitOk : kExitCut;
 }
 
+// Runs until a signal has shut the daemon down.
+int RunLineEdge(const config::settings& settings, const std::string& path) {
+  SetLogWriter(runtime::BufferLogLine);
+  auto daemon = runtime::line_daemon::Create(settings, path);
+  if (!daemon) {
+    fmt::print(stderr, "{}\n", daemon.error().reason);
+    return kExitSettings;
+  }
+  return (*daemon)->Run() ? kExitOk : kExitCut;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -95,8 +107,11 @@
     return kExitOk;
   }
   SetLogLevel(outcome.value.level);
+  std::signal(SIGPIPE, SIG_IGN);
+  if (outcome.value.edge == config::edge_kind::kLine) {
+    return RunLineEdge(outcome.value, arguments.at("--settings").asString());
+  }
   std::signal(SIGTERM, OnSignal);
   std::signal(SIGINT, OnSignal);
-  std::signal(SIGPIPE, SIG_IGN);
   return Run(outcome.value, arguments.at("--run-seconds").asLong());
 }
--- /dev/null
+++ b/src/interactive/broker.cc
@@ -0,0 +1,272 @@
+// Events of the session broker.
+#include <algorithm>
+
+#include "src/interactive/broker_implementation.h"
+
+namespace tarragondale::interactive {
+namespace {
+
+constexpr duration kSweepInterval = milliseconds(20);
+constexpr duration kIdleSweepInterval = milliseconds(200);
+constexpr duration kSlowSweepInterval = milliseconds(250);
+
+}  // namespace
+
+session_broker::session_broker(broker_options options)
+    : implementation_(std::make_unique<implementation>(std::move(options))) {}
+
+session_broker::~session_broker() = default;
+
+std::vector<action> session_broker::Step(time_point now, const event& input) {
+  return implementation_->Step(now, input);
+}
+
+std::optional<time_point> session_broker::NextDeadline() const {
+  return implementation_->NextDeadline();
+}
+
+member_health session_broker::HealthOf(std::string_view member) const {
+  return implementation_->HealthOf(member);
+}
+
+std::map<std::string, observed_position, std::less<>>
+session_broker::Positions() const {
+  return implementation_->Positions();
+}
+
+std::map<std::string, organisation_usage, std::less<>> session_broker::Usage(
+    time_point now) const {
+  return implementation_->Usage(now);
+}
+
+size_t session_broker::PrimaryWork(std::string_view group,
+                                   int64_t epoch) const {
+  return implementation_->PrimaryWork(group, epoch);
+}
+
+std::vector<action> session_broker::StopPrimaryWork(time_point now,
+                                                    std::string_view group,
+                                                    int64_t epoch) {
+  return implementation_->StopPrimaryWork(now, group, epoch);
+}
+
+const broker_metrics& session_broker::metrics() const {
+  return implementation_->metrics();
+}
+
+size_t session_broker::sessions() const {
+  return implementation_->sessions();
+}
+
+std::vector<action> session_broker::implementation::Step(time_point now,
+                                                         const event& input) {
+  now_ = std::max(now_, now);
+  actions_.clear();
+  std::visit([this](const auto& each) { On(each); }, input);
+  if (dispatch_needed_) {
+    DispatchWaiting();
+  }
+  return std::move(actions_);
+}
+
+std::optional<time_point> session_broker::implementation::NextDeadline() const {
+  return std::min(next_sweep_, next_slow_sweep_);
+}
+
+member_health session_broker::implementation::HealthOf(
+    std::string_view id) const {
+  const member* const found = pool_.Find(id);
+  return found == nullptr ? member_health{} : found->health;
+}
+
+std::map<std::string, observed_position, std::less<>>
+session_broker::implementation::Positions() const {
+  std::map<std::string, observed_position, std::less<>> newest;
+  for (const auto& [group, history] : positions_) {
+    if (const auto last = history.newest()) {
+      newest.emplace(group, *last);
+    }
+  }
+  return newest;
+}
+
+std::map<std::string, organisation_usage, std::less<>>
+session_broker::implementation::Usage(time_point now) const {
+  std::map<std::string, organisation_usage, std::less<>> usage;
+  for (const auto& [name, rate] : rates_) {
+    usage[name] = {rate.admitted(), rate.DemandPerSecond(now)};
+  }
+  return usage;
+}
+
+// --- Callers ---
+
+void session_broker::implementation::On(const caller_opened& event) {
+  ++metrics_.sessions;
+  session opened;
+  opened.id = event.session;
+  opened.database = event.database;
+  opened.key = event.key;
+  const auto refuse = [&](result_code code, std::string reason) {
+    ++metrics_.failures[code];
+    Note(log_level::kInfo, "session {} to database {:?} is refused as {}: {}",
+         event.session, event.database, InfoOf(code).name, reason);
+    actions_.push_back(answer_caller{.session = event.session,
+                                     .code = code,
+                                     .reason = std::move(reason),
+                                     .close = true});
+  };
+  if (!catalogue_) {
+    return refuse(result_code::kOverloaded, "no configuration is loaded yet");
+  }
+  if (draining_since_ && now_ - *draining_since_ > options_.drain_notice) {
+    return refuse(result_code::kDraining, "this VM is shutting down");
+  }
+  if (sessions_.size() >= options_.max_sessions) {
+    return refuse(result_code::kTooManyConnections,
+                  "this VM has no room for another session");
+  }
+  const route* const found = RouteOf(opened);
+  if (found == nullptr) {
+    return refuse(result_code::kRouteUnknown,
+                  fmt::format("no route has this database in version {}",
+                              catalogue_->version));
+  }
+  if (!found->open) {
+    const auto owner = catalogue_->key_owners.find(event.key);
+    if (owner == catalogue_->key_owners.end()) {
+      return refuse(
+          result_code::kKeyInvalid,
+          fmt::format("the key is unknown in version {}", catalogue_->version));
+    }
+    opened.organisation = owner->second;
+  }
+  sessions_.emplace(event.session, std::move(opened));
+  actions_.push_back(accept_caller{event.session});
+}
+
+void session_broker::implementation::On(const caller_sent& event) {
+  const auto found = sessions_.find(event.session);
+  if (found == sessions_.end() || found->second.closing) {
+    return;
+  }
+  ++metrics_.statements;
+  session& of = found->second;
+  if (of.pending.size() >= options_.max_pending) {
+    of.closing = true;
+    actions_.push_back(close_caller{of.id});
+    return;
+  }
+  of.pending.emplace_back(now_, event.statement);
+  StartNext(of);
+}
+
+void session_broker::implementation::On(const caller_closed& event) {
+  EndSession(event.session);
+}
+
+// --- Configuration ---
+
+void session_broker::implementation::On(const catalogue_changed& event) {
+  catalogue_ = event.value;
+  std::erase_if(rates_, [&](const auto& each) {
+    return !catalogue_->organisations.contains(each.first);
+  });
+  for (const auto& [name, row] : catalogue_->organisations) {
+    const auto found = rates_.find(name);
+    if (found == rates_.end()) {
+      rates_.emplace(name, shared_rate(row.rate, row.burst, vms_, now_));
+    } else {
+      found->second.SetLimit(row.rate, row.burst, now_);
+    }
+  }
+  dispatch_needed_ = true;
+}
+
+void session_broker::implementation::On(const members_changed& event) {
+  for (const link_id id : pool_.SetDirectory(*event.value, now_)) {
+    LoseLink(id, "the member started anew");
+  }
+  dispatch_needed_ = true;
+}
+
+void session_broker::implementation::On(const rights_changed& event) {
+  for (const auto& [group, right] : event.by_group) {
+    primary_right& known = rights_[group];
+    if (known.epoch != right.epoch || known.member != right.member) {
+      Note(log_level::kInfo,
+           "primary of group {} is now {:?}, epoch {}, was {:?}, epoch {}",
+           group, right.member, right.epoch, known.member, known.epoch);
+    }
+    known = right;
+  }
+  dispatch_needed_ = true;
+}
+
+void session_broker::implementation::On(const fleet_changed& event) {
+  vms_ = std::max(1, event.vms);
+  pool_.SetFleet(event.vms, event.by_zone);
+  for (auto& [name, rate] : rates_) {
+    rate.SetFleet(vms_);
+  }
+  dispatch_needed_ = true;
+}
+
+void session_broker::implementation::On(const position_learned& event) {
+  positions_
+      .try_emplace(event.group, position_history(options_.position_retention))
+      .first->second.Add({event.position, event.covers});
+  dispatch_needed_ = true;
+}
+
+void session_broker::implementation::On(const usage_learned& event) {
+  const auto found = rates_.find(event.organisation);
+  if (found != rates_.end()) {
+    found->second.OnReport(event.vm, event.operations, event.demand_per_s,
+                           now_);
+  }
+}
+
+// --- Members ---
+
+void session_broker::implementation::On(const check_member& event) {
+  member* const of = pool_.Find(event.member);
+  if (of == nullptr) {
+    return FinishCheck(event.member, std::nullopt);
+  }
+  StartCheck(*of, std::nullopt);
+}
+
+void session_broker::implementation::On(const demote_member& event) {
+  member* const of = pool_.Find(event.member);
+  if (of == nullptr) {
+    return FinishCheck(event.member, std::nullopt);
+  }
+  StartCheck(*of, event.term);
+}
+
+// --- Shutdown and time ---
+
+void session_broker::implementation::On(const drain_started& /*event*/) {
+  if (!draining_since_) {
+    draining_since_ = now_;
+  }
+}
+
+void session_broker::implementation::On(const tick& /*event*/) {
+  if (now_ >= next_sweep_) {
+    SweepWork();
+    next_sweep_ =
+        now_ + (active_.empty() ? kIdleSweepInterval : kSweepInterval);
+  }
+  if (now_ >= next_slow_sweep_) {
+    SweepSessions();
+    SweepLinks();
+    if (draining_since_) {
+      SweepDrain();
+    }
+    next_slow_sweep_ = now_ + kSlowSweepInterval;
+  }
+}
+
+}  // namespace tarragondale::interactive
--- /dev/null
+++ b/src/interactive/broker_dispatch.cc
@@ -0,0 +1,299 @@
+// Choice of member and link for a statement.
+#include <algorithm>
+
+#include "src/interactive/broker_implementation.h"
+
+namespace tarragondale::interactive {
+namespace {
+
+using step = member_statement::step;
+
+// A replica that said that it lags is left out for this long.
+constexpr duration kLaggingPause = milliseconds(150);
+// What a new connection costs a member, beside the round trips.
+constexpr duration kHandshakeCost = milliseconds(12);
+
+}  // namespace
+
+void session_broker::implementation::DispatchWaiting() {
+  dispatch_needed_ = false;
+  std::vector<session_id> order;
+  order.reserve(waiting_.size());
+  for (const waiting_key& key : waiting_) {
+    order.push_back(std::get<session_id>(key));
+  }
+  for (const session_id id : order) {
+    const auto found = sessions_.find(id);
+    if (found != sessions_.end() && found->second.current &&
+        found->second.current->link == 0) {
+      TryDispatch(found->second);
+    }
+  }
+}
+
+bool session_broker::implementation::TryDispatch(session& of) {
+  work& waits = *of.current;
+  if (now_ < waits.not_before) {
+    return false;
+  }
+  if (of.open && of.open->link != 0) {
+    link* const on = pool_.FindLink(of.open->link);
+    if (on == nullptr || !on->awaited.empty()) {
+      return false;
+    }
+    if (!of.open->read_only && !OnOwnPrimary(of, *on)) {
+      LoseLink(on->id, "the right to use the primary ended");
+      return false;
+    }
+    Dequeue(of);
+    SendStatement(of, *on, std::nullopt);
+    return true;
+  }
+  std::vector<candidate> candidates = Candidates(of);
+  if (candidates.empty()) {
+    return false;
+  }
+  std::stable_sort(
+      candidates.begin(), candidates.end(),
+      [](const candidate& a, const candidate& b) { return a.cost < b.cost; });
+  for (const candidate& each : candidates) {
+    if (UseCandidate(of, each)) {
+      return true;
+    }
+  }
+  // None has a free link: ask for one at the cheapest member that takes one.
+  if (waits.opening == 0) {
+    for (const candidate& each : candidates) {
+      OpenFor(of, *each.to);
+      if (waits.opening != 0) {
+        break;
+      }
+    }
+  }
+  return false;
+}
+
+std::vector<session_broker::implementation::candidate>
+session_broker::implementation::Candidates(session& of) {
+  std::vector<candidate> found;
+  work& waits = *of.current;
+  const std::string group = GroupOf(of);
+  const primary_right* const right = ValidRight(group);
+  if (right != nullptr && !right->closing) {
+    member* const primary = pool_.Find(right->member);
+    if (primary != nullptr &&
+        !(primary->leaving &&
+          now_ - *primary->leaving > options_.leaving_limit)) {
+      const duration extra =
+          waits.primary_only ? duration(0) : options_.primary_penalty;
+      found.push_back(
+          {primary, true, std::nullopt, CostOf(of, *primary) + extra});
+    } else {
+      waits.last_reason = "the primary left";
+    }
+  } else {
+    waits.last_reason = right == nullptr ? "no right to use a primary is held"
+                                         : "the primary is being replaced";
+  }
+  if (!waits.primary_only) {
+    AddReplicas(of, found);
+  }
+  return found;
+}
+
+void session_broker::implementation::AddReplicas(session& of,
+                                                 std::vector<candidate>& to) {
+  work& waits = *of.current;
+  const route& settings = of.open ? of.open->settings : *RouteOf(of);
+  const auto history = positions_.find(settings.group);
+  const auto covering =
+      history == positions_.end()
+          ? std::nullopt
+          : history->second.Covering(waits.arrived - settings.max_staleness +
+                                     options_.staleness_margin);
+  if (!covering) {
+    waits.last_reason = "no position of the primary is recent enough";
+    return;
+  }
+  log_position minimum = *covering;
+  if (settings.reads == freshness::kReadYourWrites) {
+    minimum = std::max(minimum, of.written);
+  }
+  const auto right = rights_.find(settings.group);
+  for (const std::string& id : pool_.OfGroup(settings.group)) {
+    member& each = *pool_.Find(id);
+    const bool excluded =
+        std::find(waits.excluded.begin(), waits.excluded.end(), id) !=
+        waits.excluded.end();
+    const bool is_primary =
+        right != rights_.end() && right->second.member == id;
+    if (is_primary || excluded || !each.listed || each.record.draining) {
+      continue;
+    }
+    const bool behind = each.lagging_at &&
+                        now_ - *each.lagging_at < kLaggingPause &&
+                        (!each.applied || *each.applied < minimum);
+    if (behind) {
+      waits.last_reason = "the replicas lag";
+      continue;
+    }
+    to.push_back({&each, false, minimum, CostOf(of, each)});
+  }
+}
+
+const primary_right* session_broker::implementation::ValidRight(
+    std::string_view group) const {
+  const auto found = rights_.find(group);
+  if (found == rights_.end() || found->second.member.empty() ||
+      now_ >= found->second.until) {
+    return nullptr;
+  }
+  return &found->second;
+}
+
+std::string session_broker::implementation::GroupOf(const session& of) const {
+  if (of.open) {
+    return of.open->settings.group;
+  }
+  const route* const settings = RouteOf(of);
+  return settings == nullptr ? "" : settings->group;
+}
+
+// Expected time until the answer: the way, and the queue of own statements.
+duration session_broker::implementation::CostOf(const session& of,
+                                                const member& to) const {
+  const auto running = std::count_if(
+      to.links.begin(), to.links.end(),
+      [&](link_id id) { return !pool_.links().at(id).awaited.empty(); });
+  const duration queue =
+      to.service_time * running / std::max(1, to.record.slots);
+  duration cost =
+      pool_.Distance(to) + pool_.Penalty(to) + to.service_time + queue;
+  const bool has_link =
+      std::any_of(to.links.begin(), to.links.end(), [&](link_id id) {
+        const link& each = pool_.links().at(id);
+        return each.idle() && each.organisation == of.organisation;
+      });
+  if (!has_link) {
+    cost += 2 * pool_.Distance(to) + kHandshakeCost;
+  }
+  return cost;
+}
+
+bool session_broker::implementation::UseCandidate(session& of,
+                                                  const candidate& chosen) {
+  link* const on = pool_.FindIdle(*chosen.to, of.organisation, of);
+  if (on == nullptr) {
+    return false;
+  }
+  SendOn(of, *on, chosen);
+  return true;
+}
+
+// Opens a link for a waiting statement, in place of an idle one of another
+// organisation if this VM's share of the member's connections is used up.
+void session_broker::implementation::OpenFor(session& of, member& to) {
+  if (now_ < to.retry_at || now_ < to.open_limit_at) {
+    return;
+  }
+  if (to.links.size() >= ShareOf(to)) {
+    const link* const oldest = pool_.FindReplaceable(to, of.organisation);
+    if (oldest == nullptr) {
+      return;
+    }
+    CloseLink(oldest->id);
+  }
+  link& opened = pool_.AddLink(to, of.organisation, now_);
+  of.current->opening = opened.id;
+  ++metrics_.links_opened;
+  actions_.push_back(open_link{opened.id, to.record.id, to.record.address,
+                               to.record.group, of.organisation,
+                               options_.connect_limit});
+}
+
+size_t session_broker::implementation::ShareOf(const member& of) const {
+  const auto limits = catalogue_->groups.find(of.record.group);
+  const int cap =
+      limits == catalogue_->groups.end() ? 1 : limits->second.connections;
+  const auto right = rights_.find(of.record.group);
+  const bool primary =
+      right != rights_.end() && right->second.member == of.record.id;
+  return pool_.Share(of, cap, primary);
+}
+
+void session_broker::implementation::SendOn(session& of,
+                                            link& on,
+                                            const candidate& chosen) {
+  Dequeue(of);
+  on.owner = of.id;
+  of.current->opening = 0;
+  of.current->as_primary = chosen.as_primary;
+  ++of.current->attempts;
+  if (!of.open) {
+    return SendStatement(of, on, chosen.minimum);
+  }
+  std::vector<member_statement> statements =
+      Synchronise(on, of, nullptr, options_.max_prepared);
+  statements.push_back(
+      {.what = of.open->read_only ? step::kBeginReadOnly : step::kBegin,
+       .minimum = chosen.minimum});
+  of.current->link = on.id;
+  of.current->sent = now_;
+  Send(on, std::move(statements));
+}
+
+// Sends the current statement, after what brings the link to the session's
+// state. Within a transaction the link is never reset.
+void session_broker::implementation::SendStatement(
+    session& of,
+    link& on,
+    std::optional<log_position> minimum) {
+  work& sends = *of.current;
+  const bool execute = sends.statement.kind == statement_kind::kExecute;
+  const prepared_statement* const needed =
+      execute ? &of.prepared.at(sends.statement.name) : nullptr;
+  std::vector<member_statement> statements =
+      Synchronise(on, of, needed, on.begun ? SIZE_MAX : options_.max_prepared);
+  member_statement run{.what = step::kRun,
+                       .id = sends.statement.id,
+                       .text = sends.statement.text,
+                       .argument = sends.statement.argument,
+                       .minimum = minimum};
+  if (execute) {
+    run.what = step::kExecute;
+    run.name = CommonName(*needed);
+  } else if (sends.statement.kind == statement_kind::kCommit) {
+    run.what = step::kCommit;
+  }
+  statements.push_back(std::move(run));
+  sends.link = on.id;
+  sends.sent = now_;
+  if (of.open) {
+    of.open->used = now_;
+  }
+  Send(on, std::move(statements));
+}
+
+void session_broker::implementation::Send(
+    link& on,
+    std::vector<member_statement> statements) {
+  if (statements.empty()) {
+    return;
+  }
+  for (const member_statement& each : statements) {
+    on.awaited.push_back({each.what, now_});
+  }
+  on.used = now_;
+  if (!actions_.empty()) {
+    // Statements for one link leave in one write.
+    auto* const last = std::get_if<send_link>(&actions_.back());
+    if (last != nullptr && last->link == on.id) {
+      std::move(statements.begin(), statements.end(),
+                std::back_inserter(last->statements));
+      return;
+    }
+  }
+  actions_.push_back(send_link{on.id, std::move(statements)});
+}
+
+}  // namespace tarragondale::interactive
--- /dev/null
+++ b/src/interactive/broker_implementation.h
@@ -0,0 +1,181 @@
+// Implementation of the session broker, split over the files broker*.cc.
+#ifndef TARRAGONDALE_SRC_INTERACTIVE_BROKER_IMPLEMENTATION_H_
+#define TARRAGONDALE_SRC_INTERACTIVE_BROKER_IMPLEMENTATION_H_
+
+#include <fmt/format.h>
+
+#include <map>
+#include <set>
+#include <string>
+#include <tuple>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "src/interactive/link.h"
+#include "src/interactive/member_pool.h"
+#include "src/interactive/position_history.h"
+#include "src/interactive/session.h"
+#include "src/interactive/shared_rate.h"
+#include "tarragondale/interactive.h"
+
+namespace tarragondale::interactive {
+
+class session_broker::implementation {
+ public:
+  explicit implementation(broker_options options)
+      : options_(std::move(options)), pool_(options_) {}
+
+  std::vector<action> Step(time_point now, const event& input);
+  std::optional<time_point> NextDeadline() const;
+  member_health HealthOf(std::string_view member) const;
+  std::map<std::string, observed_position, std::less<>> Positions() const;
+  std::map<std::string, organisation_usage, std::less<>> Usage(
+      time_point now) const;
+  size_t PrimaryWork(std::string_view group, int64_t epoch) const;
+  std::vector<action> StopPrimaryWork(time_point now,
+                                      std::string_view group,
+                                      int64_t epoch);
+  const broker_metrics& metrics() const { return metrics_; }
+  size_t sessions() const { return sessions_.size(); }
+
+ private:
+  // A member that may run a statement, with the expected time until its
+  // answer and the price of the way.
+  struct candidate {
+    member* to = nullptr;
+    bool as_primary = false;
+    std::optional<log_position> minimum;
+    duration cost{0};
+  };
+
+  // --- Events (broker.cc) ---
+  void On(const caller_opened& event);
+  void On(const caller_sent& event);
+  void On(const caller_closed& event);
+  void On(const link_opened& event);
+  void On(const link_refused& event);
+  void On(const link_answered& event);
+  void On(const link_lost& event);
+  void On(const catalogue_changed& event);
+  void On(const members_changed& event);
+  void On(const rights_changed& event);
+  void On(const fleet_changed& event);
+  void On(const position_learned& event);
+  void On(const usage_learned& event);
+  void On(const check_member& event);
+  void On(const demote_member& event);
+  void On(const drain_started& event);
+  void On(const tick& event);
+
+  // --- Statements of callers (broker_statements.cc) ---
+  void StartNext(session& of);
+  void Handle(session& of, time_point arrived, caller_statement statement);
+  bool RefuseByAccess(session& of);
+  void HandleSet(session& of, const caller_statement& statement);
+  void HandlePrepare(session& of, const caller_statement& statement);
+  void HandleDeallocate(session& of, const caller_statement& statement);
+  void HandleBegin(session& of, const caller_statement& statement);
+  void HandleRollback(session& of);
+  void StartWork(session& of, time_point arrived, caller_statement statement);
+  bool TakeRate(session& of);
+  const route* RouteOf(const session& of) const;
+  void Answer(session& of,
+              result_code code,
+              std::string reason,
+              member_answer* from = nullptr);
+  void FailTransaction(session& of);
+  void FinishWork(session& of, result_code code, std::string reason);
+  void EndSession(session_id id);
+
+  // --- Choice of member and link (broker_dispatch.cc) ---
+  void DispatchWaiting();
+  bool TryDispatch(session& of);
+  std::vector<candidate> Candidates(session& of);
+  void AddReplicas(session& of, std::vector<candidate>& to);
+  const primary_right* ValidRight(std::string_view group) const;
+  std::string GroupOf(const session& of) const;
+  duration CostOf(const session& of, const member& to) const;
+  bool UseCandidate(session& of, const candidate& chosen);
+  void OpenFor(session& of, member& to);
+  void SendOn(session& of, link& on, const candidate& chosen);
+  void SendStatement(session& of,
+                     link& on,
+                     std::optional<log_position> minimum);
+  void Send(link& on, std::vector<member_statement> statements);
+  size_t ShareOf(const member& of) const;
+
+  // --- Answers and failures of links (broker_links.cc) ---
+  void OnBegun(session& of, link& on, member_answer answer);
+  void OnRun(session& of,
+             link& on,
+             const awaited_answer& awaited,
+             member_answer answer);
+  void OnRunError(session& of, link& on, const member_answer& answer);
+  bool RetryLater(session& of, std::string reason);
+  void Observe(const link& on,
+               const awaited_answer& awaited,
+               const member_answer& answer);
+  bool OnOwnPrimary(const session& of, const link& on) const;
+  void Release(link& of);
+  void CloseLink(link_id id);
+  void LoseLink(link_id id, const std::string& reason);
+  void LoseOwner(session& of, const link& on, const std::string& reason);
+  void StartCheck(member& of, std::optional<int64_t> demote_term);
+  void FinishCheck(const std::string& member,
+                   std::optional<member_status> status);
+
+  // --- Timers (broker_timers.cc) ---
+  void SweepWork();
+  void SweepSessions();
+  void SweepLinks();
+  void SweepDrain();
+  void EndLateWork(session& of);
+  bool ResendLate(session& of);
+
+  template <typename... Args>
+  void Note(log_level level,
+            fmt::format_string<Args...> format,
+            Args&&... args) {
+    if (LogEnabled(level)) {
+      actions_.push_back(decision_note{
+          level, fmt::format(format, std::forward<Args>(args)...)});
+    }
+  }
+
+  // Order of statements that wait: priority, then arrival.
+  using waiting_key = std::tuple<int, time_point, session_id>;
+  void Enqueue(session& of);
+  void Dequeue(session& of);
+
+  const broker_options options_;
+  member_pool pool_;
+  time_point now_;
+  std::vector<action> actions_;
+  broker_metrics metrics_;
+  catalogue_ptr catalogue_;
+  std::map<std::string, primary_right, std::less<>> rights_;
+  std::map<std::string, position_history, std::less<>> positions_;
+  std::map<std::string, shared_rate, std::less<>> rates_;
+  int vms_ = 1;
+  std::unordered_map<session_id, session> sessions_;
+  // Sessions whose statement waits for a link, and all with a statement.
+  std::set<waiting_key> waiting_;
+  std::set<session_id> active_;
+  // Status calls in flight, by member: the link, and the term of a demotion.
+  struct check {
+    link_id link = 0;
+    time_point started;
+    std::optional<int64_t> demote_term;
+  };
+  std::map<std::string, check, std::less<>> checks_;
+  bool dispatch_needed_ = false;
+  std::optional<time_point> draining_since_;
+  bool drained_ = false;
+  time_point next_sweep_;
+  time_point next_slow_sweep_;
+};
+
+}  // namespace tarragondale::interactive
+
+#endif  // TARRAGONDALE_SRC_INTERACTIVE_BROKER_IMPLEMENTATION_H_
--- /dev/null
+++ b/src/interactive/broker_links.cc
@@ -0,0 +1,441 @@
+// Answers and failures of links to members.
+#include <algorithm>
+
+#include "src/interactive/broker_implementation.h"
+
+namespace tarragondale::interactive {
+namespace {
+
+using step = member_statement::step;
+
+bool IsCallersStatement(step what) {
+  return what == step::kRun || what == step::kExecute || what == step::kCommit;
+}
+
+// Moving average over about eight answers.
+constexpr int kAverageWeight = 8;
+
+result_code CodeFor(member_code code) {
+  switch (code) {
+    case member_code::kDone:
+      return result_code::kOk;
+    case member_code::kBusy:
+      return result_code::kOverloaded;
+    case member_code::kLagging:
+      return result_code::kNoFreshReplica;
+    case member_code::kReadOnly:
+      return result_code::kNoPrimary;
+    case member_code::kWrongMember:
+    case member_code::kTooMany:
+      return result_code::kDatabaseUnavailable;
+    case member_code::kUnknownStatement:
+      return result_code::kPreparedStatementUnknown;
+    case member_code::kFailed:
+    case member_code::kOther:
+      return result_code::kStatementFailed;
+    case member_code::kTimeout:
+      return result_code::kUnknownTimeout;
+  }
+  return result_code::kInternal;
+}
+
+}  // namespace
+
+void session_broker::implementation::On(const link_opened& event) {
+  link* const opened = pool_.FindLink(event.link);
+  if (opened == nullptr) {
+    actions_.push_back(close_link{event.link});
+    return;
+  }
+  opened->open = true;
+  opened->opened_at = now_;
+  opened->used = now_;
+  member* const of = pool_.Find(opened->member);
+  pool_.OnAnswer(*of, now_);
+  if (opened->check) {
+    const check& pending = checks_.at(opened->member);
+    member_statement status{.what = step::kStatus};
+    if (pending.demote_term) {
+      status = {.what = step::kDemote,
+                .argument = std::to_string(*pending.demote_term)};
+    }
+    return Send(*opened, {std::move(status)});
+  }
+  dispatch_needed_ = true;
+}
+
+void session_broker::implementation::On(const link_refused& event) {
+  link* const refused = pool_.FindLink(event.link);
+  if (refused == nullptr) {
+    return;
+  }
+  member* const of = pool_.Find(refused->member);
+  // The member is alive, whatever its reason.
+  pool_.OnAnswer(*of, now_);
+  of->open_limit_at = now_ + options_.too_many_backoff;
+  Note(log_level::kInfo, "member {} refuses a connection as {}; {} open here",
+       of->record.id, MemberCodeName(event.code), of->links.size());
+  ++metrics_.links_failed;
+  LoseLink(event.link, "the member refused the connection");
+}
+
+void session_broker::implementation::On(const link_lost& event) {
+  const link* const lost = pool_.FindLink(event.link);
+  if (lost == nullptr) {
+    return;
+  }
+  ++metrics_.links_failed;
+  member* const of = pool_.Find(lost->member);
+  Note(log_level::kInfo, "connection {} to member {} is lost: {}", event.link,
+       of->record.id, event.reason);
+  const bool was_check = lost->check;
+  if (!lost->open) {
+    pool_.OnFailure(*of, now_);
+  }
+  LoseLink(event.link, event.reason);
+  if (event.connected && !was_check) {
+    // Tells a restarted connection from a failed member.
+    StartCheck(*of, std::nullopt);
+  }
+}
+
+void session_broker::implementation::On(const link_answered& event) {
+  link* const on = pool_.FindLink(event.link);
+  if (on == nullptr || on->awaited.empty()) {
+    return;
+  }
+  const awaited_answer awaited = on->awaited.front();
+  on->awaited.pop_front();
+  on->used = now_;
+  member* const of = pool_.Find(on->member);
+  pool_.OnAnswer(*of, now_);
+  if (event.answer.position) {
+    of->applied = event.answer.position;
+    of->applied_at = now_;
+  }
+  if (on->check) {
+    const std::string id = on->member;
+    CloseLink(on->id);
+    return FinishCheck(id, event.answer.status);
+  }
+  Observe(*on, awaited, event.answer);
+  const auto owner = sessions_.find(on->owner);
+  if (owner == sessions_.end()) {
+    if (event.answer.code != member_code::kDone &&
+        !IsCallersStatement(awaited.what)) {
+      return CloseLink(on->id);  // Its state is not known any more.
+    }
+    if (on->awaited.empty()) {
+      Release(*on);
+    }
+    return;
+  }
+  if (awaited.what == step::kBegin || awaited.what == step::kBeginReadOnly) {
+    return OnBegun(owner->second, *on, event.answer);
+  }
+  if (IsCallersStatement(awaited.what)) {
+    const auto took = std::chrono::duration_cast<duration>(now_ - awaited.sent);
+    of->service_time += (took - of->service_time) / kAverageWeight;
+    return OnRun(owner->second, *on, awaited, event.answer);
+  }
+  if (event.answer.code != member_code::kDone) {
+    LoseLink(on->id, "the session's state could not be set");
+  }
+}
+
+void session_broker::implementation::OnBegun(session& of,
+                                             link& on,
+                                             member_answer answer) {
+  if (answer.code == member_code::kDone) {
+    on.begun = true;
+    of.open->link = on.id;
+    if (of.current->as_primary && !OnOwnPrimary(of, on)) {
+      return LoseLink(on.id, "the right to use the primary ended");
+    }
+    return SendStatement(of, on, std::nullopt);
+  }
+  of.current->link = 0;
+  Release(on);
+  OnRunError(of, on, answer);
+}
+
+void session_broker::implementation::OnRun(session& of,
+                                           link& on,
+                                           const awaited_answer& awaited,
+                                           member_answer answer) {
+  if (answer.code != member_code::kDone) {
+    if (!of.open) {
+      of.current->link = 0;
+      Release(on);
+    }
+    return OnRunError(of, on, answer);
+  }
+  const member* const by = pool_.Find(on.member);
+  const auto right = rights_.find(by->record.group);
+  const bool by_primary =
+      right != rights_.end() && right->second.member == on.member;
+  const bool needs_right = of.current->primary_only || of.current->as_primary;
+  if (needs_right && !OnOwnPrimary(of, on)) {
+    // The answer may come from a primary that was replaced meanwhile.
+    return LoseLink(on.id, "the right to use the primary ended");
+  }
+  ++(by_primary ? metrics_.done_by_primary : metrics_.done_by_replica);
+  if (of.current->writes && answer.position &&
+      (!of.open || awaited.what == step::kCommit)) {
+    of.written = std::max(of.written, *answer.position);
+  }
+  if (awaited.what == step::kCommit) {
+    on.begun = false;
+    of.open.reset();
+  }
+  if (of.open) {
+    of.open->used = now_;
+  } else {
+    Release(on);
+  }
+  of.current.reset();
+  active_.erase(of.id);
+  Answer(of, result_code::kOk, "", &answer);
+  StartNext(of);
+}
+
+// A member answered with an error; the link is free unless a transaction is
+// open on it.
+void session_broker::implementation::OnRunError(session& of,
+                                                link& on,
+                                                const member_answer& answer) {
+  work& failed = *of.current;
+  member* const by = pool_.Find(on.member);
+  const bool in_transaction = of.open && of.open->link != 0;
+  failed.last_reason = fmt::format("member {} answered {}", by->record.id,
+                                   MemberCodeName(answer.code));
+  switch (answer.code) {
+    case member_code::kBusy:
+      if (RetryLater(of, failed.last_reason)) {
+        return;
+      }
+      break;
+    case member_code::kLagging:
+      ++metrics_.lagging;
+      by->lagging_at = now_;
+      if (!in_transaction) {
+        failed.excluded.push_back(by->record.id);
+        if (RetryLater(of, failed.last_reason)) {
+          return;
+        }
+      }
+      break;
+    case member_code::kReadOnly:
+      // The primary changed; the new one becomes known from the store.
+      if (!in_transaction && RetryLater(of, failed.last_reason)) {
+        return;
+      }
+      break;
+    case member_code::kUnknownStatement:
+      on.prepared.clear();
+      if (!in_transaction && RetryLater(of, failed.last_reason)) {
+        return;
+      }
+      break;
+    case member_code::kFailed:
+    case member_code::kTimeout:
+      if (!in_transaction && !failed.writes) {
+        failed.excluded.push_back(by->record.id);
+        if (RetryLater(of, failed.last_reason)) {
+          return;
+        }
+      }
+      break;
+    case member_code::kDone:
+    case member_code::kWrongMember:
+    case member_code::kTooMany:
+    case member_code::kOther:
+      break;
+  }
+  FinishWork(of, CodeFor(answer.code), failed.last_reason);
+}
+
+// Only for statements that have not run, or that only read.
+bool session_broker::implementation::RetryLater(session& of,
+                                                std::string reason) {
+  work& again = *of.current;
+  if (again.attempts >= options_.max_attempts || now_ >= again.deadline) {
+    return false;
+  }
+  ++metrics_.retries;
+  again.link = 0;
+  again.last_reason = std::move(reason);
+  const bool lagging_only = !again.excluded.empty();
+  again.not_before = lagging_only ? now_ : now_ + options_.busy_backoff;
+  Enqueue(of);
+  dispatch_needed_ = true;
+  return true;
+}
+
+// A position that the primary reported covers what was acknowledged before the
+// statement was sent. Within a transaction it may be the position of its begin.
+void session_broker::implementation::Observe(const link& on,
+                                             const awaited_answer& awaited,
+                                             const member_answer& answer) {
+  const member& of = *pool_.Find(on.member);
+  const primary_right* const right = ValidRight(of.record.group);
+  const bool outside_transaction = answer.state == transaction_state::kIdle ||
+                                   awaited.what == step::kBegin ||
+                                   awaited.what == step::kBeginReadOnly;
+  if (!answer.position || right == nullptr || right->member != on.member ||
+      !outside_transaction) {
+    return;
+  }
+  positions_
+      .try_emplace(of.record.group,
+                   position_history(options_.position_retention))
+      .first->second.Add({*answer.position, awaited.sent});
+}
+
+bool session_broker::implementation::OnOwnPrimary(const session& of,
+                                                  const link& on) const {
+  const primary_right* const right = ValidRight(GroupOf(of));
+  return right != nullptr && right->member == on.member;
+}
+
+void session_broker::implementation::Release(link& of) {
+  of.owner = 0;
+  of.begun = false;
+  of.used = now_;
+  dispatch_needed_ = true;
+}
+
+void session_broker::implementation::CloseLink(link_id id) {
+  actions_.push_back(close_link{id});
+  pool_.RemoveLink(id);
+}
+
+// A link is given up. What ran on it ends by what is known of it.
+void session_broker::implementation::LoseLink(link_id id,
+                                              const std::string& reason) {
+  const link* const found = pool_.FindLink(id);
+  if (found == nullptr) {
+    return;
+  }
+  const link lost = *found;
+  CloseLink(id);
+  dispatch_needed_ = true;
+  if (lost.check) {
+    return FinishCheck(lost.member, std::nullopt);
+  }
+  const auto owner = sessions_.find(lost.owner);
+  if (owner != sessions_.end()) {
+    return LoseOwner(owner->second, lost, reason);
+  }
+  for (const session_id waits : active_) {
+    work& each = *sessions_.at(waits).current;
+    if (each.opening == id) {
+      each.opening = 0;
+    }
+  }
+}
+
+void session_broker::implementation::LoseOwner(session& of,
+                                               const link& on,
+                                               const std::string& reason) {
+  if (of.open && of.open->link == on.id) {
+    of.open->link = 0;
+    of.open->failed = true;
+    if (!of.current) {
+      // The next statement learns it.
+      Note(log_level::kInfo, "transaction of session {} is lost: {}", of.id,
+           reason);
+      return;
+    }
+    const bool committing =
+        of.current->statement.kind == statement_kind::kCommit &&
+        of.current->link == on.id && of.current->writes;
+    return FinishWork(of,
+                      committing ? result_code::kUnknownConnectionLost
+                                 : result_code::kTransactionAborted,
+                      reason);
+  }
+  if (!of.current) {
+    return;
+  }
+  // Outside a transaction, or before its begin was answered.
+  of.current->link = 0;
+  if (!of.current->writes || of.open) {
+    of.current->excluded.push_back(on.member);
+    if (RetryLater(of, reason)) {
+      return;
+    }
+    return FinishWork(of, result_code::kDatabaseUnavailable, reason);
+  }
+  FinishWork(of, result_code::kUnknownConnectionLost, reason);
+}
+
+// --- Status calls ---
+
+void session_broker::implementation::StartCheck(
+    member& of,
+    std::optional<int64_t> demote_term) {
+  if (checks_.contains(of.record.id)) {
+    return;
+  }
+  link& opened = pool_.AddLink(of, "", now_);
+  opened.check = true;
+  checks_[of.record.id] = {opened.id, now_, demote_term};
+  actions_.push_back(open_link{opened.id, of.record.id, of.record.address,
+                               of.record.group, "", options_.check_limit});
+}
+
+void session_broker::implementation::FinishCheck(
+    const std::string& member,
+    std::optional<member_status> status) {
+  checks_.erase(member);
+  actions_.push_back(member_checked{member, status});
+}
+
+// --- Primary work ---
+
+size_t session_broker::implementation::PrimaryWork(std::string_view group,
+                                                   int64_t epoch) const {
+  const auto right = rights_.find(group);
+  if (right == rights_.end() || right->second.epoch >= epoch) {
+    return 0;
+  }
+  const member* const primary = pool_.Find(right->second.member);
+  if (primary == nullptr) {
+    return 0;
+  }
+  return static_cast<size_t>(std::count_if(
+      primary->links.begin(), primary->links.end(), [&](link_id id) {
+        const link& each = pool_.links().at(id);
+        return !each.check && each.open && !each.idle();
+      }));
+}
+
+std::vector<action> session_broker::implementation::StopPrimaryWork(
+    time_point now,
+    std::string_view group,
+    int64_t epoch) {
+  now_ = std::max(now_, now);
+  actions_.clear();
+  const auto right = rights_.find(group);
+  if (right != rights_.end() && right->second.epoch < epoch) {
+    const std::string former = right->second.member;
+    right->second.member.clear();
+    right->second.epoch = epoch;
+    if (const member* const primary = pool_.Find(former)) {
+      const std::set<link_id> all = primary->links;
+      for (const link_id id : all) {
+        const link& each = *pool_.FindLink(id);
+        if (!each.check && each.open && !each.idle()) {
+          LoseLink(id, "the primary is being replaced");
+        }
+      }
+    }
+  }
+  if (dispatch_needed_) {
+    DispatchWaiting();
+  }
+  return std::move(actions_);
+}
+
+}  // namespace tarragondale::interactive
--- /dev/null
+++ b/src/interactive/broker_statements.cc
@@ -0,0 +1,353 @@
+// Statements of callers: what is answered here, and what needs a member.
+#include <algorithm>
+
+#include "src/interactive/broker_implementation.h"
+
+namespace tarragondale::interactive {
+namespace {
+
+transaction_state StateOf(const session& of) {
+  if (!of.open) {
+    return transaction_state::kIdle;
+  }
+  return of.open->failed ? transaction_state::kFailed
+                         : transaction_state::kOpen;
+}
+
+}  // namespace
+
+void session_broker::implementation::StartNext(session& of) {
+  const session_id id = of.id;
+  // An answer that closes may end the session, so it is looked up each time.
+  for (auto found = sessions_.find(id);
+       found != sessions_.end() && !found->second.current &&
+       !found->second.closing && !found->second.pending.empty();
+       found = sessions_.find(id)) {
+    session& next = found->second;
+    auto [arrived, statement] = std::move(next.pending.front());
+    next.pending.pop_front();
+    Handle(next, arrived, std::move(statement));
+  }
+}
+
+void session_broker::implementation::Handle(session& of,
+                                            time_point arrived,
+                                            caller_statement statement) {
+  using enum statement_kind;
+  if (statement.kind == kRollback) {
+    return HandleRollback(of);
+  }
+  if (RefuseByAccess(of)) {
+    return;
+  }
+  if (of.open && of.open->failed) {
+    if (statement.kind == kCommit) {
+      of.open.reset();
+      return Answer(of, result_code::kTransactionAborted,
+                    "the transaction had failed and is rolled back");
+    }
+    return of.open->failure_told
+               ? Answer(of, result_code::kStatementMalformed,
+                        "the transaction failed; only its end is accepted")
+               : Answer(of, result_code::kTransactionAborted,
+                        "the transaction was rolled back meanwhile");
+  }
+  switch (statement.kind) {
+    case kSet:
+      return HandleSet(of, statement);
+    case kPrepare:
+      return HandlePrepare(of, statement);
+    case kDeallocate:
+      return HandleDeallocate(of, statement);
+    case kBegin:
+    case kBeginReadOnly:
+      return HandleBegin(of, statement);
+    case kMalformed:
+    case kRollback:
+      return Answer(of, result_code::kStatementMalformed,
+                    "this is not a statement");
+    case kRead:
+    case kWrite:
+    case kExecute:
+    case kCommit:
+      break;
+  }
+  StartWork(of, arrived, std::move(statement));
+}
+
+// A key that was withdrawn ends new work of open sessions, also within a
+// transaction; a route's change applies from the next transaction.
+bool session_broker::implementation::RefuseByAccess(session& of) {
+  const route* const settings = of.open ? &of.open->settings : RouteOf(of);
+  if (settings == nullptr) {
+    of.closing = true;
+    Answer(of, result_code::kRouteUnknown,
+           fmt::format("no route has this database in version {}",
+                       catalogue_->version));
+    return true;
+  }
+  if (settings->open) {
+    return false;
+  }
+  const auto owner = catalogue_->key_owners.find(of.key);
+  if (owner != catalogue_->key_owners.end()) {
+    of.organisation = owner->second;
+    return false;
+  }
+  if (of.open) {
+    FailTransaction(of);
+    of.open.reset();
+  }
+  of.closing = true;
+  Answer(of, result_code::kKeyInvalid,
+         fmt::format("the key was withdrawn; version {}", catalogue_->version));
+  return true;
+}
+
+void session_broker::implementation::HandleSet(
+    session& of,
+    const caller_statement& statement) {
+  if (!of.values.contains(statement.name) &&
+      of.values.size() >= options_.max_values) {
+    return Answer(of, result_code::kBodyTooLarge,
+                  "the session has too many values");
+  }
+  of.values[statement.name] = statement.argument;
+  Answer(of, result_code::kOk, "");
+}
+
+void session_broker::implementation::HandlePrepare(
+    session& of,
+    const caller_statement& statement) {
+  if (!of.prepared.contains(statement.name) &&
+      of.prepared.size() >= options_.max_values) {
+    return Answer(of, result_code::kBodyTooLarge,
+                  "the session has too many prepared statements");
+  }
+  of.prepared[statement.name] = {statement.writes, statement.argument};
+  Answer(of, result_code::kOk, "");
+}
+
+void session_broker::implementation::HandleDeallocate(
+    session& of,
+    const caller_statement& statement) {
+  if (of.prepared.erase(statement.name) == 0) {
+    return Answer(of, result_code::kPreparedStatementUnknown,
+                  "no prepared statement has this name");
+  }
+  Answer(of, result_code::kOk, "");
+}
+
+// A transaction begins at a member with its first statement; until then it
+// holds no connection.
+void session_broker::implementation::HandleBegin(
+    session& of,
+    const caller_statement& statement) {
+  if (of.open) {
+    return Answer(of, result_code::kStatementMalformed,
+                  "a transaction is open already");
+  }
+  if (!TakeRate(of)) {
+    return;
+  }
+  transaction begun;
+  begun.read_only = statement.kind == statement_kind::kBeginReadOnly;
+  begun.settings = *RouteOf(of);
+  begun.used = now_;
+  of.open = std::move(begun);
+  Answer(of, result_code::kOk, "");
+}
+
+void session_broker::implementation::HandleRollback(session& of) {
+  if (of.open) {
+    FailTransaction(of);
+    of.open.reset();
+  }
+  Answer(of, result_code::kOk, "");
+}
+
+void session_broker::implementation::StartWork(session& of,
+                                               time_point arrived,
+                                               caller_statement statement) {
+  const route& settings = of.open ? of.open->settings : *RouteOf(of);
+  work started;
+  if (statement.kind == statement_kind::kExecute) {
+    const auto prepared = of.prepared.find(statement.name);
+    if (prepared == of.prepared.end()) {
+      if (of.open) {
+        FailTransaction(of);
+      }
+      return Answer(of, result_code::kPreparedStatementUnknown,
+                    "no prepared statement has this name");
+    }
+    started.writes = prepared->second.writes;
+  } else if (statement.kind == statement_kind::kCommit) {
+    if (!of.open) {
+      return Answer(of, result_code::kStatementMalformed,
+                    "no transaction is open");
+    }
+    started.writes = !of.open->read_only;
+  } else {
+    started.writes = statement.kind == statement_kind::kWrite;
+  }
+  if (of.open && of.open->read_only && started.writes) {
+    FailTransaction(of);
+    return Answer(of, result_code::kReadOnlyViolation,
+                  "the transaction is read-only");
+  }
+  if (!of.open && !TakeRate(of)) {
+    return;
+  }
+  started.primary_only = started.writes ||
+                         settings.reads == freshness::kPrimary ||
+                         (of.open && !of.open->read_only);
+  started.statement = std::move(statement);
+  started.arrived = arrived;
+  started.deadline = arrived + settings.statement_timeout;
+  started.not_before = now_;
+  if (of.open) {
+    of.open->used = now_;
+  }
+  of.current = std::move(started);
+  active_.insert(of.id);
+  // The sweep that ends late statements may be far off while none runs.
+  next_sweep_ = std::min(next_sweep_, now_ + milliseconds(20));
+  Enqueue(of);
+  TryDispatch(of);
+}
+
+bool session_broker::implementation::TakeRate(session& of) {
+  const auto found = rates_.find(of.organisation);
+  if (found == rates_.end() ||
+      catalogue_->organisations.at(of.organisation).rate <= 0) {
+    return true;
+  }
+  if (found->second.Take(now_)) {
+    return true;
+  }
+  ++metrics_.rate_refused;
+  Answer(of, result_code::kRateExceeded,
+         fmt::format("organisation {} is beyond its rate; retry after {} ms",
+                     of.organisation, ToMs(found->second.UntilNext())));
+  return false;
+}
+
+const route* session_broker::implementation::RouteOf(const session& of) const {
+  const auto found = catalogue_->routes.find(of.database);
+  return found == catalogue_->routes.end() ? nullptr : &found->second;
+}
+
+void session_broker::implementation::Answer(session& of,
+                                            result_code code,
+                                            std::string reason,
+                                            member_answer* from) {
+  if (code != result_code::kOk) {
+    ++metrics_.failures[code];
+    Note(log_level::kInfo, "session {} of {}: {} ({})", of.id, of.organisation,
+         InfoOf(code).name, reason);
+    if (of.open) {
+      of.open->failure_told = of.open->failed;
+    }
+  }
+  answer_caller answer{.session = of.id,
+                       .code = code,
+                       .reason = std::move(reason),
+                       .state = StateOf(of)};
+  if (from != nullptr) {
+    answer.rows = std::move(from->rows);
+    answer.signature = std::move(from->signature);
+    answer.position = from->position;
+  }
+  const bool leaves = draining_since_ &&
+                      now_ - *draining_since_ > options_.drain_notice &&
+                      !of.open && of.pending.empty();
+  of.closing = of.closing || leaves;
+  answer.close = of.closing;
+  actions_.push_back(std::move(answer));
+}
+
+// Rolls the transaction back at its member, if it has one.
+void session_broker::implementation::FailTransaction(session& of) {
+  of.open->failed = true;
+  const link_id held = std::exchange(of.open->link, 0);
+  link* const on = held == 0 ? nullptr : pool_.FindLink(held);
+  if (on == nullptr) {
+    return;
+  }
+  if (on->begun) {
+    on->begun = false;
+    Send(*on, {{.what = member_statement::step::kRollback}});
+  }
+  Release(*on);
+}
+
+// The statement ends with a failure of the proxy or the member.
+void session_broker::implementation::FinishWork(session& of,
+                                                result_code code,
+                                                std::string reason) {
+  const work ended = std::move(*of.current);
+  Dequeue(of);
+  of.current.reset();
+  active_.erase(of.id);
+  Note(log_level::kInfo,
+       "statement {} of session {} ends as {} after {} ms, attempts {}: {}",
+       ended.statement.id, of.id, InfoOf(code).name, ToMs(now_ - ended.arrived),
+       ended.attempts, reason);
+  if (of.open) {
+    FailTransaction(of);
+    if (ended.statement.kind == statement_kind::kCommit) {
+      of.open.reset();
+    }
+  }
+  Answer(of, code, std::move(reason));
+  StartNext(of);
+}
+
+void session_broker::implementation::EndSession(session_id id) {
+  const auto found = sessions_.find(id);
+  if (found == sessions_.end()) {
+    return;
+  }
+  session& of = found->second;
+  Dequeue(of);
+  active_.erase(id);
+  link_id held = of.open ? of.open->link : 0;
+  const bool committing =
+      of.current && of.current->statement.kind == statement_kind::kCommit &&
+      of.current->link != 0;
+  if (held == 0 && of.current) {
+    held = of.current->link;
+  }
+  if (link* const on = held == 0 ? nullptr : pool_.FindLink(held)) {
+    const bool beginning = std::any_of(
+        on->awaited.begin(), on->awaited.end(), [](const awaited_answer& each) {
+          return each.what == member_statement::step::kBegin ||
+                 each.what == member_statement::step::kBeginReadOnly;
+        });
+    if ((on->begun || beginning) && !committing) {
+      Send(*on, {{.what = member_statement::step::kRollback}});
+    }
+    on->begun = false;
+    on->owner = 0;
+    on->used = now_;
+  }
+  sessions_.erase(found);
+  dispatch_needed_ = true;
+}
+
+void session_broker::implementation::Enqueue(session& of) {
+  const int priority =
+      of.open ? of.open->settings.priority : RouteOf(of)->priority;
+  waiting_.insert({priority, of.current->arrived, of.id});
+}
+
+void session_broker::implementation::Dequeue(session& of) {
+  if (!of.current) {
+    return;
+  }
+  std::erase_if(waiting_, [&](const waiting_key& each) {
+    return std::get<session_id>(each) == of.id;
+  });
+}
+
+}  // namespace tarragondale::interactive
--- /dev/null
+++ b/src/interactive/broker_timers.cc
@@ -0,0 +1,186 @@
+// What the session broker does as time passes.
+#include <algorithm>
+
+#include "src/interactive/broker_implementation.h"
+
+namespace tarragondale::interactive {
+namespace {
+
+using step = member_statement::step;
+
+// Checks of silent members are at least this far apart.
+constexpr duration kCheckPause = milliseconds(400);
+
+duration Part(duration of, double part) {
+  return duration(static_cast<int64_t>(static_cast<double>(of.count()) * part));
+}
+
+}  // namespace
+
+// Statements that wait or run too long.
+void session_broker::implementation::SweepWork() {
+  const std::vector<session_id> running(active_.begin(), active_.end());
+  for (const session_id id : running) {
+    const auto found = sessions_.find(id);
+    if (found == sessions_.end() || !found->second.current) {
+      continue;
+    }
+    session& of = found->second;
+    if (now_ >= of.current->deadline) {
+      EndLateWork(of);
+    } else if (of.current->link == 0) {
+      const duration limit =
+          of.current->deadline - of.current->arrived > duration(0)
+              ? std::chrono::duration_cast<duration>(of.current->deadline -
+                                                     of.current->arrived)
+              : duration(0);
+      if (now_ >= of.current->arrived + Part(limit, options_.wait_part)) {
+        EndLateWork(of);
+      } else {
+        dispatch_needed_ = true;
+      }
+    } else if (!ResendLate(of)) {
+      member* const by = pool_.Find(pool_.FindLink(of.current->link)->member);
+      const bool silent = now_ - of.current->sent > options_.silence_limit &&
+                          (!by->health.last_answer ||
+                           *by->health.last_answer < of.current->sent) &&
+                          now_ >= by->retry_at;
+      if (silent && !checks_.contains(by->record.id)) {
+        by->retry_at = now_ + kCheckPause;
+        StartCheck(*by, std::nullopt);
+      }
+    }
+  }
+}
+
+// The statement's time is over.
+void session_broker::implementation::EndLateWork(session& of) {
+  work& late = *of.current;
+  if (late.link == 0) {
+    const bool transaction = of.open && of.open->link != 0;
+    return FinishWork(
+        of,
+        transaction ? result_code::kTransactionAborted
+                    : result_code::kDeadlineBeforeStart,
+        fmt::format("it has not run; {}; retry after {} ms",
+                    late.last_reason.empty() ? "no connection became free"
+                                             : late.last_reason,
+                    ToMs(options_.member_backoff)));
+  }
+  // Its answer may still come, so the link is of no use any more.
+  const link_id on = late.link;
+  const bool begun = pool_.FindLink(on)->begun;
+  const bool commit = late.statement.kind == statement_kind::kCommit;
+  const bool unknown = late.writes && (!of.open || (begun && commit));
+  const result_code code = unknown   ? result_code::kUnknownTimeout
+                           : of.open ? result_code::kTransactionAborted
+                                     : result_code::kUnknownTimeout;
+  if (of.open) {
+    of.open->link = 0;
+  }
+  pool_.FindLink(on)->owner = 0;
+  CloseLink(on);
+  FinishWork(of, code, "the statement's time limit is over");
+}
+
+// A read that takes long is sent to another member: its answer may be lost, or
+// the connection silent for good.
+bool session_broker::implementation::ResendLate(session& of) {
+  work& late = *of.current;
+  const duration limit =
+      std::chrono::duration_cast<duration>(late.deadline - late.arrived);
+  const bool may_repeat = !of.open && !late.writes;
+  if (!may_repeat || now_ - late.sent < Part(limit, options_.resend_part) ||
+      late.attempts >= options_.max_attempts) {
+    return false;
+  }
+  LoseLink(late.link, "no answer came in time");
+  return true;
+}
+
+// Transactions that their callers left idle.
+void session_broker::implementation::SweepSessions() {
+  if (!catalogue_) {
+    return;
+  }
+  for (auto& [id, of] : sessions_) {
+    if (of.open && !of.open->failed && !of.current &&
+        now_ - of.open->used > catalogue_->transaction_idle_limit) {
+      Note(log_level::kInfo,
+           "transaction of session {} is rolled back: idle for {} ms", id,
+           ToMs(now_ - of.open->used));
+      FailTransaction(of);
+    }
+  }
+}
+
+void session_broker::implementation::SweepLinks() {
+  std::vector<link_id> unused;
+  std::vector<link_id> late;
+  for (const auto& [id, each] : pool_.links()) {
+    const member& of = *pool_.Find(each.member);
+    const auto right = rights_.find(of.record.group);
+    const bool primary =
+        right != rights_.end() && right->second.member == of.record.id;
+    const bool leaves = !of.listed || of.record.draining;
+    const bool expired =
+        each.idle() &&
+        (now_ - each.used > options_.idle_link_limit || (leaves && !primary));
+    if (expired) {
+      unused.push_back(id);
+    } else if (each.check && now_ - each.opened_at > options_.check_limit) {
+      late.push_back(id);
+    } else if (each.owner == 0 && !each.awaited.empty() &&
+               now_ - each.awaited.front().sent > options_.connect_limit * 2) {
+      late.push_back(id);
+    }
+  }
+  for (const link_id id : unused) {
+    CloseLink(id);
+  }
+  for (const link_id id : late) {
+    LoseLink(id, "no answer came in time");
+  }
+  // Links beyond this VM's share, after the fleet or the primary changed.
+  if (!catalogue_) {
+    return;
+  }
+  for (auto& [id, of] : pool_.members()) {
+    if (of.health.failing_since && of.listed && now_ >= of.retry_at) {
+      StartCheck(of, std::nullopt);
+    }
+    if (of.links.size() <= ShareOf(of)) {
+      continue;
+    }
+    if (const link* const idle = pool_.FindReplaceable(of, "\n")) {
+      CloseLink(idle->id);
+    }
+  }
+}
+
+void session_broker::implementation::SweepDrain() {
+  const duration since =
+      std::chrono::duration_cast<duration>(now_ - *draining_since_);
+  std::vector<session_id> ends;
+  for (auto& [id, of] : sessions_) {
+    const bool idle = !of.current && of.pending.empty();
+    if (of.open && !of.open->failed && idle &&
+        since > options_.drain_transactions) {
+      FailTransaction(of);
+    }
+    if ((idle && !of.open && since > options_.drain_notice) ||
+        since > options_.drain_limit) {
+      ends.push_back(id);
+    }
+  }
+  for (const session_id id : ends) {
+    actions_.push_back(close_caller{id});
+    EndSession(id);
+  }
+  if (sessions_.empty() && since > options_.drain_notice && !drained_) {
+    drained_ = true;
+    actions_.push_back(drained{});
+  }
+}
+
+}  // namespace tarragondale::interactive
--- /dev/null
+++ b/src/interactive/link.cc
@@ -0,0 +1,67 @@
+// Brings a pooled connection to the state of a session.
+#include "src/interactive/link.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace tarragondale::interactive {
+namespace {
+
+using step = member_statement::step;
+
+// FNV-1a; `std::hash` may differ between builds, and names appear in logs.
+uint64_t Hash(std::string_view text) {
+  constexpr uint64_t kOffset = 0xCBF29CE484222325ULL;
+  constexpr uint64_t kPrime = 0x100000001B3ULL;
+  uint64_t value = kOffset;
+  for (const char c : text) {
+    value = (value ^ static_cast<unsigned char>(c)) * kPrime;
+  }
+  return value;
+}
+
+bool HasForeignValue(const link& link, const session& owner) {
+  return std::any_of(
+      link.values.begin(), link.values.end(),
+      [&](const auto& value) { return !owner.values.contains(value.first); });
+}
+
+}  // namespace
+
+std::string CommonName(const prepared_statement& statement) {
+  return fmt::format("{}{:016x}", statement.writes ? 'w' : 'r',
+                     Hash(statement.shape));
+}
+
+std::vector<member_statement> Synchronise(link& link,
+                                          const session& owner,
+                                          const prepared_statement* needed,
+                                          size_t max_prepared) {
+  std::vector<member_statement> statements;
+  if (HasForeignValue(link, owner) || link.prepared.size() >= max_prepared) {
+    statements.push_back({.what = step::kReset});
+    link.values.clear();
+    link.prepared.clear();
+  }
+  for (const auto& [name, value] : owner.values) {
+    const auto known = link.values.find(name);
+    if (known == link.values.end() || known->second != value) {
+      statements.push_back(
+          {.what = step::kSet, .name = name, .argument = value});
+      link.values[name] = value;
+    }
+  }
+  if (needed != nullptr) {
+    std::string name = CommonName(*needed);
+    if (link.prepared.insert(name).second) {
+      statements.push_back({.what = step::kPrepare,
+                            .name = std::move(name),
+                            .argument = needed->shape,
+                            .writes = needed->writes});
+    }
+  }
+  return statements;
+}
+
+}  // namespace tarragondale::interactive
--- /dev/null
+++ b/src/interactive/member_pool.cc
@@ -0,0 +1,203 @@
+// Bookkeeping of members and links.
+#include "src/interactive/member_pool.h"
+
+#include <algorithm>
+
+namespace tarragondale::interactive {
+namespace {
+
+// Connections of a member that no VM plans with: those of VMs that have just
+// failed linger for seconds, and status checks need one.
+constexpr int kReservedConnections = 1;
+// How many times more links a VM in the member's zone gets than one elsewhere.
+constexpr int kLocalWeight = 3;
+
+const std::vector<std::string>& NoMembers() {
+  static const std::vector<std::string> none;
+  return none;
+}
+
+}  // namespace
+
+std::vector<link_id> member_pool::SetDirectory(
+    const member_directory& directory,
+    time_point now) {
+  std::vector<link_id> outdated;
+  for (const auto& [id, record] : directory) {
+    member& known = members_[id];
+    const bool replaced =
+        known.listed && (known.record.started_ms != record.started_ms ||
+                         known.record.address != record.address);
+    if (replaced) {
+      outdated.insert(outdated.end(), known.links.begin(), known.links.end());
+      known.health = {};
+      known.applied.reset();
+      known.retry_at = now;
+    }
+    known.record = record;
+    known.listed = true;
+    if (!record.draining) {
+      known.leaving.reset();
+    } else if (!known.leaving) {
+      known.leaving = now;
+    }
+  }
+  for (auto next = members_.begin(); next != members_.end();) {
+    member& known = next->second;
+    if (!directory.contains(next->first)) {
+      if (known.links.empty() && known.leaving &&
+          now - *known.leaving > options_.position_retention) {
+        next = members_.erase(next);
+        continue;
+      }
+      known.listed = false;
+      if (!known.leaving) {
+        known.leaving = now;
+      }
+    }
+    ++next;
+  }
+  groups_.clear();
+  for (const auto& [id, known] : members_) {
+    groups_[known.record.group].push_back(id);
+  }
+  return outdated;
+}
+
+void member_pool::SetFleet(int vms,
+                           std::map<std::string, int, std::less<>> by_zone) {
+  vms_ = std::max(1, vms);
+  vms_by_zone_ = std::move(by_zone);
+}
+
+member* member_pool::Find(std::string_view id) {
+  const auto found = members_.find(id);
+  return found == members_.end() ? nullptr : &found->second;
+}
+
+const member* member_pool::Find(std::string_view id) const {
+  const auto found = members_.find(id);
+  return found == members_.end() ? nullptr : &found->second;
+}
+
+link* member_pool::FindLink(link_id id) {
+  const auto found = links_.find(id);
+  return found == links_.end() ? nullptr : &found->second;
+}
+
+const std::vector<std::string>& member_pool::OfGroup(
+    std::string_view group) const {
+  const auto found = groups_.find(group);
+  return found == groups_.end() ? NoMembers() : found->second;
+}
+
+link& member_pool::AddLink(member& of,
+                           std::string organisation,
+                           time_point now) {
+  link& added = links_[++last_link_];
+  added.id = last_link_;
+  added.member = of.record.id;
+  added.organisation = std::move(organisation);
+  added.opened_at = now;
+  added.used = now;
+  of.links.insert(added.id);
+  return added;
+}
+
+void member_pool::RemoveLink(link_id id) {
+  const link* const removed = FindLink(id);
+  if (removed == nullptr) {
+    return;
+  }
+  if (member* const of = Find(removed->member)) {
+    of->links.erase(id);
+  }
+  links_.erase(id);
+}
+
+link* member_pool::FindIdle(const member& of,
+                            std::string_view organisation,
+                            const session& wanted) {
+  link* best = nullptr;
+  for (const link_id id : of.links) {
+    link& each = links_.at(id);
+    if (!each.idle() || each.organisation != organisation) {
+      continue;
+    }
+    if (each.values == wanted.values) {
+      return &each;
+    }
+    if (best == nullptr || each.used < best->used) {
+      best = &each;
+    }
+  }
+  return best;
+}
+
+link* member_pool::FindReplaceable(const member& of,
+                                   std::string_view organisation) {
+  link* oldest = nullptr;
+  for (const link_id id : of.links) {
+    link& each = links_.at(id);
+    if (each.idle() && each.organisation != organisation &&
+        (oldest == nullptr || each.used < oldest->used)) {
+      oldest = &each;
+    }
+  }
+  return oldest;
+}
+
+size_t member_pool::Share(const member& of,
+                          int connection_cap,
+                          bool primary) const {
+  const int available = std::max(1, connection_cap - kReservedConnections);
+  const auto found = vms_by_zone_.find(of.record.availability_zone);
+  const int local = found == vms_by_zone_.end() ? 0 : found->second;
+  if (primary || local == 0) {
+    return static_cast<size_t>(std::max(1, available / vms_));
+  }
+  const int parts = local * kLocalWeight + std::max(0, vms_ - local);
+  const bool here = of.record.availability_zone == options_.availability_zone;
+  return static_cast<size_t>(
+      std::max(1, available * (here ? kLocalWeight : 1) / std::max(1, parts)));
+}
+
+duration member_pool::Distance(const member& of) const {
+  const std::string& zone = of.record.availability_zone;
+  if (zone == options_.availability_zone) {
+    return options_.zone_latency;
+  }
+  return SameRegion(zone) ? options_.region_latency
+                          : options_.other_region_latency;
+}
+
+duration member_pool::Penalty(const member& of) const {
+  const std::string& zone = of.record.availability_zone;
+  if (zone == options_.availability_zone) {
+    return duration(0);
+  }
+  return SameRegion(zone) ? options_.zone_penalty : options_.region_penalty;
+}
+
+void member_pool::OnAnswer(member& of, time_point now) {
+  of.health.last_answer = now;
+  of.health.failing_since.reset();
+  of.health.failures = 0;
+  of.retry_at = now;
+}
+
+void member_pool::OnFailure(member& of, time_point now) {
+  if (!of.health.failing_since) {
+    of.health.failing_since = now;
+  }
+  ++of.health.failures;
+  of.retry_at = now + options_.member_backoff;
+}
+
+bool member_pool::SameRegion(std::string_view zone) const {
+  const auto found = options_.region_of_zone.find(zone);
+  return found != options_.region_of_zone.end() &&
+         found->second == options_.region;
+}
+
+}  // namespace tarragondale::interactive
--- /dev/null
+++ b/src/interactive/member_pool.h
@@ -0,0 +1,92 @@
+// The members of all groups, the links to them, and what is known of each.
+#ifndef TARRAGONDALE_SRC_INTERACTIVE_MEMBER_POOL_H_
+#define TARRAGONDALE_SRC_INTERACTIVE_MEMBER_POOL_H_
+
+#include <map>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "src/interactive/link.h"
+#include "src/interactive/position_history.h"
+#include "tarragondale/interactive.h"
+
+namespace tarragondale::interactive {
+
+/// @brief A member and this VM's view of it.
+struct member {
+  member_record record;
+  bool listed = false;                ///< In the present directory.
+  std::optional<time_point> leaving;  ///< Draining or gone since.
+  member_health health;
+  time_point retry_at;                       ///< No new connection before.
+  time_point open_limit_at;                  ///< The cap was reached until.
+  std::optional<log_position> applied;       ///< Last applied position it told,
+  time_point applied_at;                     ///< at this time.
+  std::optional<time_point> lagging_at;      ///< Last answer that it lags.
+  duration service_time = milliseconds(15);  ///< Moving average.
+  std::set<link_id> links;
+};
+
+/// @brief Owns links and members. Decides nothing about statements.
+class member_pool {
+ public:
+  explicit member_pool(const broker_options& options) : options_(options) {}
+
+  /// @brief Takes a new directory over. Gives the links to members that were
+  /// replaced by another incarnation; the caller closes them.
+  std::vector<link_id> SetDirectory(const member_directory& directory,
+                                    time_point now);
+
+  void SetFleet(int vms, std::map<std::string, int, std::less<>> by_zone);
+
+  member* Find(std::string_view id);
+  const member* Find(std::string_view id) const;
+  link* FindLink(link_id id);
+  std::map<std::string, member, std::less<>>& members() { return members_; }
+  const std::map<std::string, member, std::less<>>& members() const {
+    return members_;
+  }
+  /// @brief Members of a group by id; empty if there are none.
+  const std::vector<std::string>& OfGroup(std::string_view group) const;
+
+  link& AddLink(member& of, std::string organisation, time_point now);
+  void RemoveLink(link_id id);
+
+  /// @brief An idle link of `organisation` to the member; prefers one with the
+  /// values of `wanted`. Null if there is none.
+  link* FindIdle(const member& of,
+                 std::string_view organisation,
+                 const session& wanted);
+
+  /// @brief The idle link of another organisation that was used longest ago.
+  link* FindReplaceable(const member& of, std::string_view organisation);
+
+  /// @brief Links that this VM may have to a member.
+  size_t Share(const member& of, int connection_cap, bool primary) const;
+
+  /// @brief Round trip and price of the way to a member.
+  duration Distance(const member& of) const;
+  duration Penalty(const member& of) const;
+
+  void OnAnswer(member& of, time_point now);
+  void OnFailure(member& of, time_point now);
+
+  const std::unordered_map<link_id, link>& links() const { return links_; }
+
+ private:
+  bool SameRegion(std::string_view zone) const;
+
+  const broker_options& options_;
+  std::map<std::string, member, std::less<>> members_;
+  std::map<std::string, std::vector<std::string>, std::less<>> groups_;
+  std::unordered_map<link_id, link> links_;
+  link_id last_link_ = 0;
+  int vms_ = 1;
+  std::map<std::string, int, std::less<>> vms_by_zone_;
+};
+
+}  // namespace tarragondale::interactive
+
+#endif  // TARRAGONDALE_SRC_INTERACTIVE_MEMBER_POOL_H_
--- /dev/null
+++ b/src/interactive/shared_rate.cc
@@ -0,0 +1,126 @@
+// Fleet-wide token bucket.
+#include "src/interactive/shared_rate.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace tarragondale::interactive {
+namespace {
+
+// As long as the interval of reports between VMs.
+constexpr duration kWindow = milliseconds(500);
+// A VM that was not heard for this long is taken to use its even share.
+constexpr duration kReportLifetime = milliseconds(2'500);
+constexpr double kDemandSpanSeconds = 1.0;
+// A VM may always spend this part of an even share, so that it can start.
+constexpr double kLeastPartOfEvenShare = 0.5;
+// Part of the burst that a VM assumes to be there when it starts; others may
+// have spent the rest.
+constexpr double kStartLevel = 0.5;
+constexpr double kWhole = 1 - 1e-9;
+
+double Seconds(duration span) {
+  return std::chrono::duration<double>(span).count();
+}
+
+double Elapsed(time_point from, time_point to) {
+  return std::max(0.0, std::chrono::duration<double>(to - from).count());
+}
+
+}  // namespace
+
+shared_rate::shared_rate(double rate, double burst, int vms, time_point now)
+    : rate_(rate),
+      burst_(burst),
+      vms_(vms),
+      balance_(burst * kStartLevel),
+      updated_(now),
+      window_start_(now),
+      demand_updated_(now) {
+  StartWindow(now);
+}
+
+void shared_rate::SetLimit(double rate, double burst, time_point now) {
+  Refill(now);
+  rate_ = rate;
+  burst_ = burst;
+  balance_ = std::min(balance_, burst_);
+  StartWindow(now);
+}
+
+bool shared_rate::Take(time_point now) {
+  demand_sum_ = demand_sum_ * std::exp(-Elapsed(demand_updated_, now) /
+                                       kDemandSpanSeconds) +
+                1;
+  demand_updated_ = now;
+  Refill(now);
+  if (now - window_start_ >= kWindow) {
+    StartWindow(now);
+  }
+  if (balance_ < kWhole || window_allowance_ < kWhole) {
+    return false;
+  }
+  balance_ -= 1;
+  window_allowance_ -= 1;
+  ++admitted_;
+  return true;
+}
+
+void shared_rate::OnReport(std::string_view vm,
+                           double operations,
+                           double demand_per_s,
+                           time_point now) {
+  Refill(now);
+  balance_ -= operations;
+  peer& reporter = peers_[std::string(vm)];
+  reporter.demand_per_s = demand_per_s;
+  reporter.heard = now;
+  std::erase_if(peers_, [&](const auto& each) {
+    return now - each.second.heard > kReportLifetime;
+  });
+}
+
+duration shared_rate::UntilNext() const {
+  if (rate_ <= 0) {
+    return kWindow;
+  }
+  const double missing = std::max(1.0 - balance_, 0.0) / rate_;
+  return std::max(duration(static_cast<int64_t>(missing * 1e6)), kWindow);
+}
+
+double shared_rate::DemandPerSecond(time_point now) const {
+  return demand_sum_ *
+         std::exp(-Elapsed(demand_updated_, now) / kDemandSpanSeconds) /
+         kDemandSpanSeconds;
+}
+
+void shared_rate::Refill(time_point now) {
+  // VMs that were not heard may spend their even share unseen.
+  const int unheard = std::max(0, vms_ - 1 - static_cast<int>(peers_.size()));
+  const double known = 1.0 - static_cast<double>(unheard) / std::max(1, vms_);
+  balance_ =
+      std::min(burst_, balance_ + Elapsed(updated_, now) * rate_ * known);
+  updated_ = std::max(updated_, now);
+}
+
+void shared_rate::StartWindow(time_point now) {
+  window_start_ = now;
+  window_allowance_ =
+      Share(now) * (std::max(balance_, 0.0) + rate_ * Seconds(kWindow));
+}
+
+double shared_rate::Share(time_point now) const {
+  const double even = 1.0 / std::max(1, vms_);
+  if (vms_ <= 1 || peers_.empty()) {
+    return even;
+  }
+  const double own = DemandPerSecond(now);
+  double total = own;
+  for (const auto& [name, each] : peers_) {
+    total += each.demand_per_s;
+  }
+  const double by_demand = total > 0 ? own / total : even;
+  return std::max(by_demand, even * kLeastPartOfEvenShare);
+}
+
+}  // namespace tarragondale::interactive
--- /dev/null
+++ b/src/leadership/keeper.cc
@@ -0,0 +1,295 @@
+// Events of the keeper.
+#include <algorithm>
+
+#include "src/leadership/keeper_implementation.h"
+
+namespace tarragondale::leadership {
+
+using store::keyspace::call_status;
+
+keeper::keeper(options options, broker_view view)
+    : implementation_(std::make_unique<implementation>(std::move(options),
+                                                       std::move(view))) {}
+
+keeper::~keeper() = default;
+
+std::vector<action> keeper::Step(time_point now, const event& input) {
+  return implementation_->Step(now, input);
+}
+
+time_point keeper::NextDeadline() const {
+  return implementation_->NextDeadline();
+}
+
+std::map<std::string, group_state, std::less<>> keeper::Groups() const {
+  return implementation_->Groups();
+}
+
+std::optional<time_point> keeper::confirmed_at() const {
+  return implementation_->confirmed_at();
+}
+
+bool keeper::left() const {
+  return implementation_->left();
+}
+
+std::vector<action> keeper::implementation::Step(time_point now,
+                                                 const event& input) {
+  now_ = std::max(now_, now);
+  actions_.clear();
+  std::visit([this](const auto& each) { On(each); }, input);
+  return std::move(actions_);
+}
+
+std::map<std::string, group_state, std::less<>> keeper::implementation::Groups()
+    const {
+  std::map<std::string, group_state, std::less<>> groups;
+  for (const auto& [group, record] : records_) {
+    const auto stopped = stopped_.find(group);
+    groups[group] = {record, stopped == stopped_.end() ? 0 : stopped->second};
+  }
+  return groups;
+}
+
+void keeper::implementation::On(const item_seen& event) {
+  if (event.removed) {
+    SeeRemoved(event.now.key);
+  } else {
+    SeeItem(event.now);
+  }
+  PublishFleet();
+}
+
+void keeper::implementation::On(const items_loaded& event) {
+  bool duty_listed = false;
+  std::set<std::string> vms;
+  for (const store::keyspace::item& item : event.items) {
+    duty_listed = duty_listed || item.key == DutyKey();
+    if (item.key.starts_with(VmPrefix())) {
+      vms.insert(item.key.substr(VmPrefix().size()));
+    }
+    SeeItem(item);
+  }
+  if (!duty_listed) {
+    SeeDuty(std::nullopt);
+  }
+  fleet_dirty_ = fleet_dirty_ || std::erase_if(vms_, [&](const auto& each) {
+                                   return !vms.contains(each.first);
+                                 }) > 0;
+  PublishFleet();
+}
+
+void keeper::implementation::SeeItem(const store::keyspace::item& item) {
+  const auto invalid = [&](const failure& problem) {
+    Note(log_level::kWarning, "{}; it is ignored", problem.reason);
+  };
+  if (item.key.starts_with(PrimaryPrefix())) {
+    const auto record = DecodePrimary(item);
+    if (!record) {
+      return invalid(record.error());
+    }
+    SeeRecord(item.key.substr(PrimaryPrefix().size()), *record);
+  } else if (item.key.starts_with(VmPrefix())) {
+    const auto record = DecodeVm(item);
+    if (!record) {
+      return invalid(record.error());
+    }
+    vm_registration& known = vms_[item.key.substr(VmPrefix().size())];
+    fleet_dirty_ = fleet_dirty_ || known != *record;
+    known = *record;
+  } else if (item.key == DutyKey()) {
+    const auto record = DecodeDuty(item);
+    if (!record) {
+      return invalid(record.error());
+    }
+    SeeDuty(*record);
+  }
+}
+
+void keeper::implementation::SeeRemoved(std::string_view key) {
+  if (key.starts_with(VmPrefix())) {
+    fleet_dirty_ = vms_.erase(std::string(key.substr(VmPrefix().size()))) > 0 ||
+                   fleet_dirty_;
+  } else if (key == DutyKey()) {
+    SeeDuty(std::nullopt);
+  }
+}
+
+void keeper::implementation::On(const store_answered& event) {
+  const auto found = calls_.find(event.tag);
+  if (found == calls_.end()) {
+    return;
+  }
+  const pending_call call = std::move(found->second);
+  calls_.erase(found);
+  switch (call.kind) {
+    case call_kind::kGrantRegistration:
+    case call_kind::kWriteRegistration:
+    case call_kind::kRenewRegistration:
+    case call_kind::kEndRegistration:
+      return OnRegistrationAnswer(call.kind, event);
+    case call_kind::kGrantDuty:
+    case call_kind::kClaimDuty:
+    case call_kind::kRenewDuty:
+    case call_kind::kEndDuty:
+      return OnDutyAnswer(call.kind, event);
+    case call_kind::kConfirm:
+      return OnConfirmed(event);
+    case call_kind::kCreateRecord:
+    case call_kind::kRecordMove:
+    case call_kind::kListVms:
+    case call_kind::kPublish:
+      return OnHandoverAnswer(call, event);
+  }
+}
+
+void keeper::implementation::On(const members_changed& event) {
+  members_ = event.value;
+  std::erase_if(unlisted_since_, [&](const auto& each) {
+    return members_->contains(each.first);
+  });
+  for (const auto& [group, record] : records_) {
+    if (!members_->contains(record.member)) {
+      unlisted_since_.try_emplace(record.member, now_);
+    }
+  }
+}
+
+void keeper::implementation::On(const catalogue_changed& event) {
+  catalogue_ = event.value;
+}
+
+void keeper::implementation::On(const digest_arrived& event) {
+  peer& from = peers_[event.vm];
+  if (event.digest.incarnation < from.digest.incarnation) {
+    return;  // A message of an earlier process.
+  }
+  from.digest = event.digest;
+  from.heard = now_;
+  for (const wire::primary_state& state : event.digest.primaries) {
+    SeeRecord(state.group,
+              {state.member, state.term, state.moving, "", state.epoch});
+  }
+  if (event.echo_sent && event.digest.confirmed_age_ms >= 0) {
+    // The sender's read was sent `confirmed_age_ms` before its digest, and the
+    // digest left after the one that it echoes.
+    const time_point sent =
+        *event.echo_sent - milliseconds(event.digest.confirmed_age_ms);
+    for (const wire::primary_state& state : event.digest.primaries) {
+      if (!state.moving) {
+        ConfirmGroup(state.group, state.epoch, sent);
+      }
+    }
+    PublishRights();
+  }
+  ContinueHandovers();
+}
+
+void keeper::implementation::On(const member_checked& event) {
+  if (!event.status) {
+    return;
+  }
+  const auto demoted = demotions_.find(event.member);
+  if (demoted != demotions_.end() && !event.status->primary) {
+    Note(log_level::kInfo, "member {} leads no more", event.member);
+    demotions_.erase(demoted);
+  }
+  const auto record = members_
+                          ? members_->find(event.member)
+                          : interactive::member_directory::const_iterator{};
+  if (!members_ || record == members_->end()) {
+    return;
+  }
+  const auto move = handovers_.find(record->second.group);
+  if (move != handovers_.end()) {
+    move->second.statuses[event.member] = {*event.status, now_};
+    ContinueHandovers();
+  }
+}
+
+void keeper::implementation::On(const promotion_answered& event) {
+  const auto found = handovers_.find(event.group);
+  if (found == handovers_.end() || found->second.chosen != event.member ||
+      found->second.machine.state() != chart::handover::state::kPromoting) {
+    return;
+  }
+  handover& move = found->second;
+  move.calling = false;
+  switch (event.result) {
+    case promotion_result::kAccepted:
+      Fire(event.group, move, chart::handover::event::kAccepted, event.reason);
+      break;
+    case promotion_result::kRefused:
+      move.refused.insert(event.member);
+      Fire(event.group, move, chart::handover::event::kRefused, event.reason);
+      break;
+    case promotion_result::kUnknown:
+      Note(log_level::kWarning,
+           "promotion of {} in group {} has no known result: {}", event.member,
+           event.group, event.reason);
+      move.next_call = now_ + options_.promote_retry;
+      break;
+  }
+}
+
+void keeper::implementation::On(const drain_started& /*event*/) {
+  draining_ = true;
+  if (holding_ && handovers_.empty()) {
+    holding_ = false;
+    Call(call_kind::kEndDuty, store::keyspace::revoke_call{duty_lease_.lease});
+    duty_lease_ = {};
+  }
+}
+
+void keeper::implementation::On(const leave_started& /*event*/) {
+  if (leaving_) {
+    return;
+  }
+  leaving_ = true;
+  draining_ = true;
+  confirmed_.clear();
+  for (const auto& [group, record] : records_) {
+    actions_.push_back(stop_primary_work{group, record.epoch + 1});
+  }
+  PublishRights();
+  if (duty_lease_.lease != 0) {
+    Call(call_kind::kEndDuty, store::keyspace::revoke_call{duty_lease_.lease});
+    duty_lease_ = {};
+    holding_ = false;
+  }
+  if (registration_.lease != 0) {
+    Call(call_kind::kEndRegistration,
+         store::keyspace::revoke_call{registration_.lease});
+  }
+}
+
+void keeper::implementation::On(const tick& /*event*/) {
+  next_tick_ = now_ + options_.tick_interval;
+  if (leaving_) {
+    return;
+  }
+  KeepRegistration();
+  KeepDuty();
+  KeepConfirmed();
+  ContinueStopping();
+  PublishRights();
+  if (HoldsDuty()) {
+    WatchPrimaries();
+  }
+  ContinueHandovers();
+  ContinueDemotions();
+}
+
+uint64_t keeper::implementation::Call(call_kind kind,
+                                      store::keyspace::call call,
+                                      std::string group) {
+  calls_[++last_tag_] = {kind, std::move(group)};
+  actions_.push_back(call_store{last_tag_, std::move(call)});
+  return last_tag_;
+}
+
+std::string keeper::implementation::Writer() const {
+  return fmt::format("{}/{}", options_.self.name, options_.self.incarnation);
+}
+
+}  // namespace tarragondale::leadership
--- /dev/null
+++ b/src/leadership/keeper_handover.cc
@@ -0,0 +1,529 @@
+// Changes of a group's primary by the VM that has the duty.
+#include <algorithm>
+
+#include "src/leadership/keeper_implementation.h"
+
+namespace tarragondale::leadership {
+
+using handover_event = chart::handover::event;
+using handover_state = chart::handover::state;
+using store::keyspace::call_status;
+
+namespace {
+
+constexpr duration kCreateInterval = milliseconds(300);
+// A primary that was replaced is told so for this long.
+constexpr duration kDemotionLimit = seconds(40);
+// Longer than a status call on a new connection takes. A status that arrives
+// sooner after the last right ended may lack the last commits.
+constexpr duration kStatusMargin = milliseconds(80);
+
+}  // namespace
+
+// --- When to change ---
+
+void keeper::implementation::WatchPrimaries() {
+  if (!members_ || !catalogue_ || draining_) {
+    return;
+  }
+  for (const auto& [group, limits] : catalogue_->groups) {
+    const auto found = records_.find(group);
+    if (found == records_.end()) {
+      CreateRecord(group);
+      continue;
+    }
+    if (handovers_.contains(group)) {
+      continue;
+    }
+    const primary_record record = found->second;
+    if (record.moving) {
+      StartHandover(group, record, false, "left unfinished by another VM");
+      continue;
+    }
+    bool planned = false;
+    if (auto reason = ReasonToMove(record, planned)) {
+      StartHandover(group, record, planned, std::move(*reason));
+    }
+  }
+}
+
+// The first record of a group names the member that leads already.
+void keeper::implementation::CreateRecord(const std::string& group) {
+  if (now_ < next_create_) {
+    return;
+  }
+  const interactive::member_record* primary = nullptr;
+  for (const interactive::member_record* each : MembersOf(group)) {
+    if (each->claims_primary) {
+      if (primary != nullptr) {
+        return;  // Two claim it; the directory will tell.
+      }
+      primary = each;
+    }
+  }
+  if (primary == nullptr) {
+    return;
+  }
+  next_create_ = now_ + kCreateInterval;
+  store::keyspace::transaction_call create;
+  create.conditions.push_back({PrimaryKey(group), 0});
+  create.writes.push_back(
+      {.key = PrimaryKey(group),
+       .value = EncodePrimary({primary->id, 0, false, Writer(), 0})});
+  Call(call_kind::kCreateRecord, std::move(create), group);
+}
+
+std::optional<std::string> keeper::implementation::ReasonToMove(
+    const primary_record& record,
+    bool& planned) {
+  const auto member = members_->find(record.member);
+  if (member != members_->end() && member->second.draining) {
+    planned = true;
+    return "the primary is leaving";
+  }
+  const std::string group = [&] {
+    for (const auto& [name, each] : records_) {
+      if (each.epoch == record.epoch) {
+        return name;
+      }
+    }
+    return std::string();
+  }();
+  if (IsSuspected(group, record.member)) {
+    return "the primary is unreachable";
+  }
+  const auto unlisted = unlisted_since_.find(record.member);
+  if (member == members_->end() && unlisted != unlisted_since_.end() &&
+      now_ - unlisted->second > options_.gone_limit) {
+    planned = !view_.health(record.member).failing_since.has_value();
+    return "the primary is gone from the directory";
+  }
+  return std::nullopt;
+}
+
+// Most VMs that know anything of the member can't reach it.
+bool keeper::implementation::IsSuspected(const std::string& group,
+                                         const std::string& member) const {
+  int failing = 0;
+  int reached = 0;
+  const interactive::member_health own = view_.health(member);
+  if (own.failing_since && own.failures >= options_.suspicion_failures &&
+      now_ - *own.failing_since >= options_.suspicion) {
+    ++failing;
+  } else if (own.last_answer &&
+             now_ - *own.last_answer < options_.report_lifetime) {
+    ++reached;
+  }
+  for (const auto& [name, each] : peers_) {
+    if (now_ - each.heard > options_.report_lifetime) {
+      continue;
+    }
+    for (const wire::primary_state& state : each.digest.primaries) {
+      if (state.group != group || state.member != member) {
+        continue;
+      }
+      if (state.failing_ms >= ToMs(options_.suspicion)) {
+        ++failing;
+      } else if (state.answer_age_ms >= 0 &&
+                 state.answer_age_ms < ToMs(options_.report_lifetime)) {
+        ++reached;
+      }
+    }
+  }
+  return failing > reached;
+}
+
+void keeper::implementation::StartHandover(const std::string& group,
+                                           const primary_record& record,
+                                           bool planned,
+                                           std::string reason) {
+  handover& move = handovers_[group];
+  move.from = record.member;
+  move.from_term = record.term;
+  move.planned = planned;
+  move.reason = std::move(reason);
+  move.started = now_;
+  move.state_since = now_;
+  Note(log_level::kWarning,
+       "group {}: changes the primary {} (epoch {}, {}): {}", group,
+       record.member, record.epoch, planned ? "planned" : "failed",
+       move.reason);
+  if (record.moving) {
+    move.epoch = record.epoch;
+    move.recorded = now_;
+    Fire(group, move, handover_event::kRecorded, "the record is moving");
+    return;
+  }
+  store::keyspace::transaction_call write;
+  write.conditions.push_back({PrimaryKey(group), record.epoch});
+  write.writes.push_back({.key = PrimaryKey(group),
+                          .value = EncodePrimary({record.member, record.term,
+                                                  true, Writer(), 0})});
+  move.calling = true;
+  Call(call_kind::kRecordMove, std::move(write), group);
+}
+
+// --- Steps ---
+
+void keeper::implementation::ContinueHandovers() {
+  std::vector<std::string> groups;
+  for (const auto& [group, move] : handovers_) {
+    groups.push_back(group);
+  }
+  for (const std::string& group : groups) {
+    handover& move = handovers_.at(group);
+    const auto record = records_.find(group);
+    if (!HoldsDuty()) {
+      Fire(group, move, handover_event::kFailed, "the duty was lost");
+    } else if (move.epoch != 0 && record->second.epoch > move.epoch &&
+               move.machine.state() != handover_state::kPublishing) {
+      Fire(group, move, handover_event::kFailed,
+           "another VM changed the record");
+    }
+    switch (move.machine.state()) {
+      case handover_state::kRecording:
+        if (record != records_.end() && record->second.moving &&
+            !move.calling) {
+          move.epoch = record->second.epoch;
+          move.recorded = now_;
+          Fire(group, move, handover_event::kRecorded, "read back");
+        } else if (!move.calling &&
+                   now_ - move.state_since > options_.promote_retry) {
+          Fire(group, move, handover_event::kFailed, "not recorded");
+        }
+        break;
+      case handover_state::kStopping:
+        ContinueStop(group, move);
+        break;
+      case handover_state::kChoosing:
+        ContinueChoice(group, move);
+        break;
+      case handover_state::kPromoting:
+        ContinuePromotion(group, move);
+        break;
+      case handover_state::kConfirming:
+        ContinueConfirmation(move);
+        if (move.machine.state() == handover_state::kConfirming &&
+            now_ - move.state_since > options_.confirm_limit) {
+          Fire(group, move, handover_event::kTimedOut, "it does not lead yet");
+        } else if (move.new_term != 0) {
+          Fire(group, move, handover_event::kEffective, "it leads");
+          ContinuePublication(group, move);
+        }
+        break;
+      case handover_state::kPublishing:
+        ContinuePublication(group, move);
+        break;
+      case handover_state::kDone:
+      case handover_state::kAbandoned:
+        break;
+    }
+    if (handovers_.at(group).machine.InFinalState()) {
+      FinishHandover(group);
+    }
+  }
+}
+
+void keeper::implementation::ContinueStop(const std::string& group,
+                                          handover& move) {
+  CheckMembers(group, move);
+  if (!move.waits_for && !move.calling) {
+    move.calling = true;
+    Call(call_kind::kListVms, store::keyspace::range_call{VmPrefix(), ""},
+         group);
+  }
+  const bool expired = now_ - move.recorded >= options_.right_lifetime;
+  if (expired || AllStopped(group, move)) {
+    Fire(group, move, handover_event::kStopped,
+         expired ? "the last right ended" : "all VMs gave their rights up");
+    ContinueChoice(group, move);
+  }
+}
+
+// Every VM that was registered after the record was written as moving.
+bool keeper::implementation::AllStopped(const std::string& group,
+                                        handover& move) {
+  const auto own = stopped_.find(group);
+  if (!move.waits_for || own == stopped_.end() || own->second < move.epoch) {
+    return false;
+  }
+  return std::all_of(
+      move.waits_for->begin(), move.waits_for->end(),
+      [&](const std::string& name) {
+        const auto vm = vms_.find(name);
+        if (name == options_.self.name || vm == vms_.end()) {
+          return true;  // A registration that ended has ended its rights.
+        }
+        const auto heard = peers_.find(name);
+        if (heard == peers_.end() ||
+            heard->second.digest.incarnation < vm->second.incarnation) {
+          return false;
+        }
+        const auto& states = heard->second.digest.primaries;
+        return std::any_of(states.begin(), states.end(),
+                           [&](const wire::primary_state& state) {
+                             return state.group == group &&
+                                    state.stopped_epoch >= move.epoch;
+                           });
+      });
+}
+
+void keeper::implementation::CheckMembers(const std::string& group,
+                                          handover& move) {
+  if (now_ < move.next_call) {
+    return;
+  }
+  move.next_call = now_ + options_.status_interval;
+  for (const interactive::member_record* each : MembersOf(group)) {
+    actions_.push_back(check_member{each->id});
+  }
+}
+
+void keeper::implementation::ContinueChoice(const std::string& group,
+                                            handover& move) {
+  CheckMembers(group, move);
+  const interactive::member_status* from = nullptr;
+  const std::string* best = nullptr;
+  const interactive::member_status* best_status = nullptr;
+  size_t answered = 0;
+  size_t candidates = 0;
+  for (const interactive::member_record* each : MembersOf(group)) {
+    const bool eligible = each->id != move.from && !each->draining &&
+                          !move.refused.contains(each->id);
+    candidates += eligible ? 1 : 0;
+    const auto found = move.statuses.find(each->id);
+    if (found == move.statuses.end() || found->second.at < move.state_since) {
+      continue;
+    }
+    const interactive::member_status& status = found->second.status;
+    if (each->id == move.from) {
+      if (found->second.at < move.state_since + kStatusMargin) {
+        continue;
+      }
+      from = &status;
+      if (status.primary) {
+        move.from_term = std::max(move.from_term, status.term);
+      }
+      continue;
+    }
+    if (status.primary && status.term > move.from_term && move.from_term > 0) {
+      move.chosen = each->id;
+      move.new_term = status.term;
+      return Fire(group, move, handover_event::kAlreadyPrimary, each->id);
+    }
+    if (!eligible) {
+      continue;
+    }
+    ++answered;
+    if (best_status == nullptr || status.received > best_status->received) {
+      best = &each->id;
+      best_status = &status;
+    }
+  }
+  const duration waited =
+      std::chrono::duration_cast<duration>(now_ - move.state_since);
+  const bool caught_up = best_status != nullptr && from != nullptr &&
+                         best_status->received >= from->received;
+  const bool complete =
+      answered == candidates && (from != nullptr || !move.planned);
+  const duration limit =
+      from != nullptr ? options_.catch_up_limit : options_.choose_limit;
+  if (best != nullptr &&
+      ((complete && (from == nullptr || caught_up)) || waited > limit)) {
+    move.chosen = *best;
+    move.new_term = 0;
+    move.calling = false;
+    move.next_call = now_;
+    Fire(group, move, handover_event::kChosen,
+         fmt::format("{} of {} candidates answered, position {}.{}", answered,
+                     candidates, best_status->received.term,
+                     best_status->received.position));
+    return ContinuePromotion(group, move);
+  }
+  if (best == nullptr && from != nullptr && from->primary &&
+      waited > options_.restore_limit) {
+    move.chosen = move.from;
+    move.new_term = from->term;
+    return Fire(group, move, handover_event::kRestored,
+                "no other member answers");
+  }
+  if (best == nullptr && waited > options_.restore_limit) {
+    move.refused.clear();
+  }
+}
+
+void keeper::implementation::ContinuePromotion(const std::string& group,
+                                               handover& move) {
+  // A call that has no known result is repeated for the same member only: it
+  // may still take effect.
+  if (move.calling || now_ < move.next_call) {
+    return;
+  }
+  move.calling = true;
+  Note(log_level::kWarning, "group {}: promotes {}, token {}", group,
+       move.chosen, duty_->token);
+  actions_.push_back(
+      promote_member{group, move.chosen, options_.self.name, duty_->token});
+}
+
+void keeper::implementation::ContinueConfirmation(handover& move) {
+  const auto status = move.statuses.find(move.chosen);
+  if (status != move.statuses.end() && status->second.at >= move.state_since &&
+      status->second.status.primary &&
+      status->second.status.term > move.from_term) {
+    move.new_term = status->second.status.term;
+    return;
+  }
+  if (now_ >= move.next_call) {
+    move.next_call = now_ + options_.tick_interval;
+    actions_.push_back(check_member{move.chosen});
+  }
+}
+
+void keeper::implementation::ContinuePublication(const std::string& group,
+                                                 handover& move) {
+  const primary_record& record = records_.at(group);
+  if (record.epoch > move.epoch) {
+    const bool own = !record.moving && record.member == move.chosen;
+    return Fire(group, move,
+                own ? handover_event::kPublished : handover_event::kFailed,
+                "the record changed");
+  }
+  if (move.calling || now_ < move.next_call) {
+    return;
+  }
+  store::keyspace::transaction_call write;
+  write.conditions.push_back({PrimaryKey(group), move.epoch});
+  write.writes.push_back({.key = PrimaryKey(group),
+                          .value = EncodePrimary({move.chosen, move.new_term,
+                                                  false, Writer(), 0})});
+  move.calling = true;
+  Call(call_kind::kPublish, std::move(write), group);
+}
+
+// --- Answers of the store ---
+
+void keeper::implementation::OnHandoverAnswer(const pending_call& call,
+                                              const store_answered& event) {
+  const auto& reply = event.reply;
+  for (const store::keyspace::item& item : reply.items) {
+    if (call.kind != call_kind::kListVms) {
+      SeeItem(item);
+    }
+  }
+  if (call.kind == call_kind::kCreateRecord) {
+    next_confirm_ = now_;
+    KeepConfirmed();
+    return;
+  }
+  const auto found = handovers_.find(call.group);
+  if (found == handovers_.end()) {
+    return;
+  }
+  handover& move = found->second;
+  move.calling = false;
+  switch (call.kind) {
+    case call_kind::kRecordMove:
+      if (reply.status == call_status::kDone) {
+        move.epoch = reply.revision;
+        move.recorded = now_;
+        SeeRecord(call.group,
+                  {move.from, move.from_term, true, Writer(), reply.revision});
+        Fire(call.group, move, handover_event::kRecorded, "written");
+        actions_.push_back(send_digests{});
+      } else if (reply.status == call_status::kUnknown) {
+        move.state_since = now_;
+        next_confirm_ = now_;
+        confirm_again_ = true;
+        KeepConfirmed();
+      } else {
+        Fire(call.group, move, handover_event::kFailed, reply.reason);
+      }
+      break;
+    case call_kind::kListVms:
+      if (reply.status == call_status::kDone) {
+        std::set<std::string>& names = move.waits_for.emplace();
+        for (const store::keyspace::item& item : reply.items) {
+          SeeItem(item);
+          names.insert(item.key.substr(VmPrefix().size()));
+        }
+      }
+      break;
+    case call_kind::kPublish:
+      if (reply.status == call_status::kDone) {
+        SeeRecord(call.group, {move.chosen, move.new_term, false, Writer(),
+                               reply.revision});
+        actions_.push_back(send_digests{});
+      } else if (reply.status != call_status::kConflict) {
+        move.next_call = now_ + options_.store_retry;
+      }
+      break;
+    default:
+      break;
+  }
+  ContinueHandovers();
+}
+
+void keeper::implementation::Fire(const std::string& group,
+                                  handover& move,
+                                  handover_event event,
+                                  std::string_view why) {
+  const std::string before(move.machine.StateName());
+  if (!move.machine.Fire(event)) {
+    return;
+  }
+  move.state_since = now_;
+  move.next_call = now_;
+  move.calling = false;
+  Note(log_level::kInfo, "group {}: change of primary {}{} from {} to {}: {}",
+       group, move.from,
+       move.chosen.empty() ? "" : fmt::format(" to {}", move.chosen), before,
+       move.machine.StateName(), why);
+}
+
+void keeper::implementation::FinishHandover(const std::string& group) {
+  const handover& move = handovers_.at(group);
+  Note(log_level::kWarning,
+       "group {}: change of primary {} to {} is {} after "
+       "{} ms",
+       group, move.from, move.chosen.empty() ? "none" : move.chosen,
+       move.machine.StateName(), ToMs(now_ - move.started));
+  if (move.machine.state() == handover_state::kDone &&
+      move.chosen != move.from) {
+    demotions_[move.from] = {move.new_term, now_, now_ + kDemotionLimit};
+  }
+  handovers_.erase(group);
+}
+
+// The old primary is told that it leads no more as soon as it is reachable.
+void keeper::implementation::ContinueDemotions() {
+  for (auto next = demotions_.begin(); next != demotions_.end();) {
+    auto& [member, demotion] = *next;
+    if (now_ > demotion.until ||
+        (members_ && !members_->contains(member) &&
+         now_ + kDemotionLimit - demotion.until > options_.gone_limit * 4)) {
+      next = demotions_.erase(next);
+      continue;
+    }
+    if (now_ >= demotion.next) {
+      demotion.next = now_ + options_.demote_interval;
+      actions_.push_back(demote_member{member, demotion.term});
+    }
+    ++next;
+  }
+}
+
+std::vector<const interactive::member_record*>
+keeper::implementation::MembersOf(std::string_view group) const {
+  std::vector<const interactive::member_record*> found;
+  if (members_) {
+    for (const auto& [id, record] : *members_) {
+      if (record.group == group) {
+        found.push_back(&record);
+      }
+    }
+  }
+  return found;
+}
+
+}  // namespace tarragondale::leadership
--- /dev/null
+++ b/src/leadership/keeper_implementation.h
@@ -0,0 +1,227 @@
+// Implementation of the keeper, split over the files keeper*.cc.
+#ifndef TARRAGONDALE_SRC_LEADERSHIP_KEEPER_IMPLEMENTATION_H_
+#define TARRAGONDALE_SRC_LEADERSHIP_KEEPER_IMPLEMENTATION_H_
+
+#include <fmt/format.h>
+
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "tarragondale/chart.h"
+#include "tarragondale/leadership.h"
+
+namespace tarragondale::leadership {
+
+class keeper::implementation {
+ public:
+  implementation(options options, broker_view view)
+      : options_(std::move(options)),
+        view_(std::move(view)),
+        random_(options_.seed) {}
+
+  std::vector<action> Step(time_point now, const event& input);
+  time_point NextDeadline() const { return next_tick_; }
+  std::map<std::string, group_state, std::less<>> Groups() const;
+  std::optional<time_point> confirmed_at() const { return confirmed_at_; }
+  bool left() const { return leaving_ && registration_.lease == 0; }
+
+ private:
+  enum class call_kind : uint8_t {
+    kGrantRegistration,
+    kWriteRegistration,
+    kRenewRegistration,
+    kEndRegistration,
+    kConfirm,
+    kGrantDuty,
+    kClaimDuty,
+    kRenewDuty,
+    kEndDuty,
+    kCreateRecord,
+    kRecordMove,
+    kListVms,
+    kPublish,
+  };
+
+  struct pending_call {
+    call_kind kind = call_kind::kConfirm;
+    std::string group;
+  };
+
+  // A lease that this VM renews. `renewed` is when the last successful grant
+  // or renewal was sent, so the lease lasts at least its lifetime from there.
+  struct held_lease {
+    int64_t lease = 0;
+    time_point renewed;
+    time_point next_call;
+    bool calling = false;
+  };
+
+  struct peer {
+    wire::fleet_digest digest;
+    time_point heard;
+  };
+
+  // A right that is being given up.
+  struct stopping {
+    int64_t epoch = 0;
+    time_point deadline;
+  };
+
+  struct checked_status {
+    interactive::member_status status;
+    time_point at;
+  };
+
+  struct demotion {
+    int64_t term = 0;
+    time_point next;
+    time_point until;
+  };
+
+  // One change of primary by this VM. Invariant: from `stopping` on, the
+  // group's record is moving with the epoch `epoch`.
+  struct handover {
+    chart::machine<chart::handover> machine;
+    std::string from;
+    int64_t from_term = 0;
+    bool planned = false;
+    std::string reason;
+    int64_t epoch = 0;
+    time_point started;
+    time_point state_since;
+    time_point recorded;  ///< The record was moving at the latest then.
+    std::optional<std::set<std::string>> waits_for;  ///< VMs; empty: not read.
+    time_point next_call;
+    bool calling = false;
+    std::map<std::string, checked_status> statuses;
+    std::set<std::string> refused;
+    std::string chosen;
+    int64_t new_term = 0;
+  };
+
+  // --- Events (keeper.cc) ---
+  void On(const item_seen& event);
+  void On(const items_loaded& event);
+  void On(const store_answered& event);
+  void On(const members_changed& event);
+  void On(const catalogue_changed& event);
+  void On(const digest_arrived& event);
+  void On(const member_checked& event);
+  void On(const promotion_answered& event);
+  void On(const drain_started& event);
+  void On(const leave_started& event);
+  void On(const tick& event);
+
+  uint64_t Call(call_kind kind,
+                store::keyspace::call call,
+                std::string group = {});
+  std::string Writer() const;
+  void SeeItem(const store::keyspace::item& item);
+  void SeeRemoved(std::string_view key);
+
+  // --- Registration, duty and confirmation (keeper_leases.cc) ---
+  void KeepRegistration();
+  void KeepDuty();
+  void KeepConfirmed();
+  void OnRegistrationAnswer(call_kind kind, const store_answered& event);
+  void OnDutyAnswer(call_kind kind, const store_answered& event);
+  void OnConfirmed(const store_answered& event);
+  void SeeDuty(const std::optional<duty_record>& record);
+  bool HoldsDuty() const;
+  void PublishFleet();
+
+  // --- Rights (keeper_rights.cc) ---
+  void SeeRecord(const std::string& group, const primary_record& record);
+  void StopOld(const std::string& group, int64_t epoch);
+  void ContinueStopping();
+  void ConfirmGroup(const std::string& group, int64_t epoch, time_point sent);
+  interactive::primary_right RightOf(const std::string& group) const;
+  void PublishRights();
+
+  // --- Changes of primary (keeper_handover.cc) ---
+  void WatchPrimaries();
+  void CreateRecord(const std::string& group);
+  std::optional<std::string> ReasonToMove(const primary_record& record,
+                                          bool& planned);
+  bool IsSuspected(const std::string& group, const std::string& member) const;
+  void StartHandover(const std::string& group,
+                     const primary_record& record,
+                     bool planned,
+                     std::string reason);
+  void ContinueHandovers();
+  void ContinueStop(const std::string& group, handover& move);
+  void ContinueChoice(const std::string& group, handover& move);
+  void ContinuePromotion(const std::string& group, handover& move);
+  void ContinueConfirmation(handover& move);
+  void ContinuePublication(const std::string& group, handover& move);
+  void OnHandoverAnswer(const pending_call& call, const store_answered& event);
+  bool AllStopped(const std::string& group, handover& move);
+  void CheckMembers(const std::string& group, handover& move);
+  void Fire(const std::string& group,
+            handover& move,
+            chart::handover::event event,
+            std::string_view why);
+  void FinishHandover(const std::string& group);
+  void ContinueDemotions();
+  std::vector<const interactive::member_record*> MembersOf(
+      std::string_view group) const;
+
+  template <typename... Args>
+  void Note(log_level level,
+            fmt::format_string<Args...> format,
+            Args&&... args) {
+    actions_.push_back(
+        note{level, fmt::format(format, std::forward<Args>(args)...)});
+  }
+
+  const options options_;
+  const broker_view view_;
+  std::mt19937_64 random_;
+  time_point now_;
+  time_point next_tick_;
+  std::vector<action> actions_;
+  uint64_t last_tag_ = 0;
+  std::map<uint64_t, pending_call> calls_;
+  interactive::member_directory_ptr members_;
+  interactive::catalogue_ptr catalogue_;
+  std::map<std::string, time_point, std::less<>> unlisted_since_;
+
+  held_lease registration_;
+  bool registered_ = false;
+  time_point registered_at_;
+  held_lease duty_lease_;
+  std::optional<duty_record> duty_;
+  bool holding_ = false;
+  time_point next_claim_;
+  bool draining_ = false;
+  bool leaving_ = false;
+
+  std::map<std::string, vm_registration, std::less<>> vms_;
+  bool fleet_dirty_ = true;
+  std::map<std::string, peer, std::less<>> peers_;
+
+  std::map<std::string, primary_record, std::less<>> records_;
+  // Latest time at which a linearizable read that shows the record's present
+  // epoch was sent.
+  std::map<std::string, time_point, std::less<>> confirmed_;
+  std::optional<time_point> confirmed_at_;
+  time_point next_confirm_;
+  bool confirming_ = false;
+  bool confirm_again_ = false;
+  std::map<std::string, int64_t, std::less<>> stopped_;
+  std::map<std::string, stopping, std::less<>> stopping_;
+  std::map<std::string, interactive::primary_right, std::less<>> rights_;
+
+  std::map<std::string, handover, std::less<>> handovers_;
+  std::map<std::string, demotion, std::less<>> demotions_;
+  time_point next_create_;
+};
+
+}  // namespace tarragondale::leadership
+
+#endif  // TARRAGONDALE_SRC_LEADERSHIP_KEEPER_IMPLEMENTATION_H_
--- /dev/null
+++ b/src/leadership/keeper_leases.cc
@@ -0,0 +1,242 @@
+// Registration, duty and confirmation of the primaries' records.
+#include <algorithm>
+
+#include "src/leadership/keeper_implementation.h"
+
+namespace tarragondale::leadership {
+
+using store::keyspace::call_status;
+
+namespace {
+
+// Spreads claims of a free duty, so that most claims meet no other.
+constexpr int64_t kClaimJitterMs = 150;
+
+}  // namespace
+
+// --- Registration ---
+
+void keeper::implementation::KeepRegistration() {
+  if (registration_.calling || now_ < registration_.next_call) {
+    return;
+  }
+  if (registration_.lease != 0 &&
+      now_ >= registration_.renewed + options_.registration_lifetime) {
+    registration_.lease = 0;
+    registered_ = false;
+  }
+  registration_.calling = true;
+  if (registration_.lease == 0) {
+    Call(call_kind::kGrantRegistration,
+         store::keyspace::grant_call{std::chrono::duration_cast<milliseconds>(
+             options_.registration_lifetime)});
+  } else if (!registered_) {
+    store::keyspace::transaction_call write;
+    write.writes.push_back({.key = VmKey(options_.self.name),
+                            .value = EncodeVm(options_.self),
+                            .lease = registration_.lease});
+    Call(call_kind::kWriteRegistration, std::move(write));
+  } else {
+    Call(call_kind::kRenewRegistration,
+         store::keyspace::renew_call{registration_.lease});
+  }
+}
+
+void keeper::implementation::OnRegistrationAnswer(call_kind kind,
+                                                  const store_answered& event) {
+  registration_.calling = false;
+  const bool done = event.reply.status == call_status::kDone;
+  if (kind == call_kind::kEndRegistration) {
+    registration_ = {};
+    return;
+  }
+  if (event.reply.status == call_status::kNotFound) {
+    Note(log_level::kWarning,
+         "this VM's registration ended in the store; it registers again");
+    registration_ = {};
+    registered_ = false;
+    confirmed_.clear();
+    PublishRights();
+    return KeepRegistration();
+  }
+  if (!done) {
+    registration_.next_call = now_ + options_.store_retry;
+    return;
+  }
+  if (kind == call_kind::kGrantRegistration) {
+    registration_.lease = event.reply.lease;
+    registration_.renewed = event.sent;
+    registration_.next_call = now_;
+    return KeepRegistration();
+  }
+  if (kind == call_kind::kWriteRegistration) {
+    registered_ = true;
+    registered_at_ = now_;
+    next_confirm_ = now_;
+    Note(log_level::kInfo, "registered with incarnation {}",
+         options_.self.incarnation);
+    KeepConfirmed();
+  } else {
+    registration_.renewed = std::max(registration_.renewed, event.sent);
+  }
+  registration_.next_call = now_ + options_.registration_interval;
+}
+
+// --- Duty ---
+
+bool keeper::implementation::HoldsDuty() const {
+  return holding_ && now_ < duty_lease_.renewed + options_.duty_lifetime -
+                                options_.duty_margin;
+}
+
+void keeper::implementation::KeepDuty() {
+  if (duty_lease_.calling || now_ < duty_lease_.next_call) {
+    return;
+  }
+  if (holding_) {
+    if (now_ >= duty_lease_.renewed + options_.duty_lifetime) {
+      Note(log_level::kWarning,
+           "the duty of changing primaries was lost: its "
+           "lease could not be renewed");
+      holding_ = false;
+      duty_lease_ = {};
+      return;
+    }
+    duty_lease_.calling = true;
+    Call(call_kind::kRenewDuty, store::keyspace::renew_call{duty_lease_.lease});
+    return;
+  }
+  const bool own_former = duty_ && duty_->holder == options_.self.name &&
+                          duty_->incarnation != options_.self.incarnation;
+  if (draining_ || !registered_ || (duty_ && !own_former) ||
+      now_ < next_claim_) {
+    return;
+  }
+  duty_lease_.calling = true;
+  if (duty_lease_.lease == 0) {
+    Call(call_kind::kGrantDuty,
+         store::keyspace::grant_call{
+             std::chrono::duration_cast<milliseconds>(options_.duty_lifetime)});
+    return;
+  }
+  store::keyspace::transaction_call claim;
+  claim.conditions.push_back({DutyKey(), duty_ ? duty_->token : 0});
+  claim.writes.push_back(
+      {.key = DutyKey(),
+       .value = EncodeDuty({options_.self.name, options_.self.incarnation, 0}),
+       .lease = duty_lease_.lease});
+  Call(call_kind::kClaimDuty, std::move(claim));
+}
+
+void keeper::implementation::OnDutyAnswer(call_kind kind,
+                                          const store_answered& event) {
+  if (kind == call_kind::kEndDuty) {
+    return;
+  }
+  duty_lease_.calling = false;
+  const auto& reply = event.reply;
+  if (reply.status == call_status::kDone) {
+    if (kind == call_kind::kGrantDuty) {
+      duty_lease_.lease = reply.lease;
+      duty_lease_.renewed = event.sent;
+      duty_lease_.next_call = now_;
+      return KeepDuty();
+    }
+    if (kind == call_kind::kRenewDuty) {
+      duty_lease_.renewed = std::max(duty_lease_.renewed, event.sent);
+    } else {
+      SeeDuty(duty_record{options_.self.name, options_.self.incarnation,
+                          reply.revision});
+    }
+    duty_lease_.next_call = now_ + options_.duty_interval;
+    return;
+  }
+  if (reply.status == call_status::kNotFound) {
+    // The lease ended; another VM may hold the duty already.
+    if (holding_) {
+      Note(log_level::kWarning,
+           "the duty of changing primaries was lost: its "
+           "lease ended in the store");
+    }
+    holding_ = false;
+    duty_lease_ = {};
+  } else if (reply.status == call_status::kConflict) {
+    for (const auto& item : reply.items) {
+      SeeItem(item);
+    }
+  }
+  duty_lease_.next_call = now_ + options_.store_retry;
+}
+
+void keeper::implementation::SeeDuty(const std::optional<duty_record>& record) {
+  if (record && duty_ && record->token < duty_->token) {
+    return;
+  }
+  const bool was_free = !duty_;
+  duty_ = record;
+  const bool own = duty_ && duty_->holder == options_.self.name &&
+                   duty_->incarnation == options_.self.incarnation;
+  if (own && !holding_ && duty_lease_.lease != 0) {
+    holding_ = true;
+    Note(log_level::kInfo, "holds the duty of changing primaries, token {}",
+         duty_->token);
+  } else if (!own && holding_) {
+    holding_ = false;
+    duty_lease_ = {};
+    Note(log_level::kWarning, "the duty of changing primaries went to {}",
+         duty_ ? duty_->holder : "nobody");
+  }
+  if (!duty_ && !was_free) {
+    std::uniform_int_distribution<int64_t> jitter(0, kClaimJitterMs);
+    next_claim_ = now_ + milliseconds(jitter(random_));
+  }
+}
+
+// --- Confirmation ---
+
+void keeper::implementation::KeepConfirmed() {
+  if (confirming_ || now_ < next_confirm_ || !registered_) {
+    return;
+  }
+  confirming_ = true;
+  confirm_again_ = false;
+  Call(call_kind::kConfirm, store::keyspace::range_call{PrimaryPrefix(), ""});
+}
+
+void keeper::implementation::OnConfirmed(const store_answered& event) {
+  confirming_ = false;
+  if (event.reply.status != call_status::kDone) {
+    next_confirm_ = now_ + options_.store_retry;
+    return;
+  }
+  for (const store::keyspace::item& item : event.reply.items) {
+    SeeItem(item);
+    ConfirmGroup(item.key.substr(PrimaryPrefix().size()), item.revision,
+                 event.sent);
+  }
+  if (event.reply.more) {
+    confirming_ = true;
+    Call(call_kind::kConfirm,
+         store::keyspace::range_call{PrimaryPrefix(),
+                                     event.reply.items.back().key});
+  } else {
+    confirmed_at_ = std::max(confirmed_at_.value_or(event.sent), event.sent);
+    next_confirm_ = confirm_again_ ? now_ : now_ + options_.confirm_interval;
+  }
+  PublishRights();
+  ContinueHandovers();
+}
+
+void keeper::implementation::PublishFleet() {
+  if (!fleet_dirty_) {
+    return;
+  }
+  fleet_dirty_ = false;
+  fleet_known known;
+  for (const auto& [name, vm] : vms_) {
+    known.vms.push_back(vm);
+  }
+  actions_.push_back(std::move(known));
+}
+
+}  // namespace tarragondale::leadership
--- /dev/null
+++ b/src/leadership/records.cc
@@ -0,0 +1,132 @@
+// Records of the fleet in the store, as JSON.
+#include <fmt/format.h>
+
+#include <nlohmann/json.hpp>
+
+#include "tarragondale/leadership.h"
+
+namespace tarragondale::leadership {
+namespace {
+
+using nlohmann::json;
+
+failure Invalid(const store::keyspace::item& item) {
+  return {result_code::kStoreRowInvalid,
+          fmt::format("the value of {:?} does not decode", item.key)};
+}
+
+// The record as an object; a discarded value if it is none.
+json Object(const store::keyspace::item& item) {
+  json value = json::parse(item.value, nullptr, false);
+  return value.is_object() ? value : json(json::value_t::discarded);
+}
+
+bool ReadText(const json& object, const char* name, std::string& text) {
+  const auto found = object.find(name);
+  if (found == object.end() || !found->is_string()) {
+    return false;
+  }
+  text = found->get<std::string>();
+  return true;
+}
+
+bool ReadNumber(const json& object, const char* name, int64_t& number) {
+  const auto found = object.find(name);
+  if (found == object.end() || !found->is_number_integer()) {
+    return false;
+  }
+  number = found->get<int64_t>();
+  return true;
+}
+
+bool ReadFlag(const json& object, const char* name, bool& flag) {
+  const auto found = object.find(name);
+  if (found == object.end() || !found->is_boolean()) {
+    return false;
+  }
+  flag = found->get<bool>();
+  return true;
+}
+
+}  // namespace
+
+std::string PrimaryPrefix() {
+  return std::string(kKeyPrefix) + "primary/";
+}
+
+std::string VmPrefix() {
+  return std::string(kKeyPrefix) + "vm/";
+}
+
+std::string PrimaryKey(std::string_view group) {
+  return PrimaryPrefix() + std::string(group);
+}
+
+std::string VmKey(std::string_view vm) {
+  return VmPrefix() + std::string(vm);
+}
+
+std::string DutyKey() {
+  return std::string(kKeyPrefix) + "duty/primary";
+}
+
+std::string EncodePrimary(const primary_record& record) {
+  return json{{"member", record.member},
+              {"term", record.term},
+              {"moving", record.moving},
+              {"writer", record.writer}}
+      .dump();
+}
+
+std::string EncodeVm(const vm_registration& record) {
+  return json{{"name", record.name},
+              {"peer_address", record.peer_address},
+              {"availability_zone", record.availability_zone},
+              {"region", record.region},
+              {"incarnation", record.incarnation}}
+      .dump();
+}
+
+std::string EncodeDuty(const duty_record& record) {
+  return json{{"holder", record.holder}, {"incarnation", record.incarnation}}
+      .dump();
+}
+
+result<primary_record> DecodePrimary(const store::keyspace::item& item) {
+  const json value = Object(item);
+  primary_record record;
+  if (value.is_discarded() || !ReadText(value, "member", record.member) ||
+      !ReadNumber(value, "term", record.term) ||
+      !ReadFlag(value, "moving", record.moving) ||
+      !ReadText(value, "writer", record.writer)) {
+    return Invalid(item);
+  }
+  record.epoch = item.revision;
+  return record;
+}
+
+result<vm_registration> DecodeVm(const store::keyspace::item& item) {
+  const json value = Object(item);
+  vm_registration record;
+  if (value.is_discarded() || !ReadText(value, "name", record.name) ||
+      !ReadText(value, "peer_address", record.peer_address) ||
+      !ReadText(value, "availability_zone", record.availability_zone) ||
+      !ReadText(value, "region", record.region) ||
+      !ReadNumber(value, "incarnation", record.incarnation)) {
+    return Invalid(item);
+  }
+  return record;
+}
+
+result<duty_record> DecodeDuty(const store::keyspace::item& item) {
+  const json value = Object(item);
+  duty_record record;
+  if (value.is_discarded() || !ReadText(value, "holder", record.holder) ||
+      !ReadNumber(value, "incarnation", record.incarnation)) {
+    return Invalid(item);
+  }
+  record.token = item.revision;
+  return record;
+}
+
+}  // namespace tarragondale::leadership
--- /dev/null
+++ b/src/runtime/line/connection.cc
@@ -0,0 +1,188 @@
+// Line connection by Boost.Asio.
+#include "src/runtime/line/connection.h"
+
+#include <netinet/tcp.h>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <utility>
+
+namespace tarragondale::runtime {
+
+namespace net = boost::asio;
+using net::ip::tcp;
+
+namespace {
+
+// A peer that does not acknowledge for this long is gone. Longer than a lost
+// packet takes to be sent again.
+constexpr int kUserTimeoutMs = 4'000;
+using user_timeout =
+    net::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+
+}  // namespace
+
+line_connection::line_connection(tcp::socket socket)
+    : socket_(std::move(socket)), limit_(socket_.get_executor()) {}
+
+void line_connection::SetOptions() {
+  boost::system::error_code ignored;
+  socket_.set_option(tcp::no_delay(true), ignored);
+  socket_.set_option(user_timeout(kUserTimeoutMs), ignored);
+}
+
+void line_connection::Start() {
+  connected_ = true;
+  SetOptions();
+  Read();
+}
+
+void line_connection::Connect(const tcp::endpoint& endpoint,
+                              std::string greeting,
+                              duration limit) {
+  queued_ = std::move(greeting);
+  limit_.expires_after(limit);
+  limit_.async_wait(
+      [self = shared_from_this()](boost::system::error_code error) {
+        if (!error) {
+          self->Fail("it did not open in time");
+        }
+      });
+  socket_.async_connect(
+      endpoint, [self = shared_from_this()](boost::system::error_code error) {
+        if (self->closed_) {
+          return;
+        }
+        if (error) {
+          return self->Fail(error.message());
+        }
+        self->connected_ = true;
+        self->SetOptions();
+        self->WriteNext();
+        self->Read();
+      });
+}
+
+void line_connection::Write(std::string text) {
+  if (closed_ || closing_) {
+    return;
+  }
+  if (queued_.empty()) {
+    queued_ = std::move(text);
+  } else {
+    queued_ += text;
+  }
+  if (queued_.size() > kMaxQueuedBytes) {
+    return Fail("the other side reads too slowly");
+  }
+  if (connected_ && !writes_) {
+    WriteNext();
+  }
+}
+
+void line_connection::CloseAfterWrites() {
+  closing_ = true;
+  handlers_ = {};
+  if (!writes_ && queued_.empty()) {
+    Close();
+  }
+}
+
+void line_connection::Close() {
+  if (std::exchange(closed_, true)) {
+    return;
+  }
+  handlers_ = {};
+  limit_.cancel();
+  boost::system::error_code ignored;
+  socket_.shutdown(tcp::socket::shutdown_both, ignored);
+  socket_.close(ignored);
+}
+
+void line_connection::Read() {
+  socket_.async_read_some(net::buffer(input_),
+                          [self = shared_from_this()](
+                              boost::system::error_code error, size_t count) {
+                            if (self->closed_) {
+                              return;
+                            }
+                            if (error) {
+                              return self->Fail(error.message());
+                            }
+                            self->OnRead(count);
+                          });
+}
+
+void line_connection::OnRead(size_t count) {
+  reader_.Append({input_.data(), count});
+  // The handler may close this connection, which drops the handlers.
+  const auto on_line = handlers_.line;
+  while (!closed_ && !closing_) {
+    auto line = reader_.Next();
+    if (!line) {
+      break;
+    }
+    on_line(std::move(*line));
+  }
+  if (closed_) {
+    return;
+  }
+  if (reader_.overflowed() && !closing_) {
+    Write(platform::EncodeTooLarge());
+    return Fail("a line is too long");
+  }
+  Read();
+}
+
+void line_connection::WriteNext() {
+  if (queued_.empty()) {
+    if (closing_) {
+      Close();
+    }
+    return;
+  }
+  writes_ = true;
+  writing_ = std::exchange(queued_, {});
+  // Most writes fit into the socket's buffer; trying at once saves a wake-up.
+  boost::system::error_code error;
+  socket_.non_blocking(true, error);
+  const size_t written = socket_.write_some(net::buffer(writing_), error);
+  if (error && error != net::error::would_block) {
+    writes_ = false;
+    // Not from within the caller, which may hold state of this connection.
+    net::post(socket_.get_executor(), [self = shared_from_this(), error] {
+      self->Fail(error.message());
+    });
+    return;
+  }
+  if (written == writing_.size()) {
+    writes_ = false;
+    return WriteNext();
+  }
+  net::async_write(
+      socket_,
+      net::buffer(writing_.data() + written, writing_.size() - written),
+      [self = shared_from_this()](boost::system::error_code failed, size_t) {
+        self->writes_ = false;
+        if (self->closed_) {
+          return;
+        }
+        if (failed) {
+          return self->Fail(failed.message());
+        }
+        self->WriteNext();
+      });
+}
+
+void line_connection::Fail(const std::string& reason) {
+  if (closed_) {
+    return;
+  }
+  const auto closed = std::move(handlers_.closed);
+  Close();
+  if (closed) {
+    closed(reason);
+  }
+}
+
+}  // namespace tarragondale::runtime
--- /dev/null
+++ b/src/runtime/line/http_channel.cc
@@ -0,0 +1,193 @@
+// HTTP calls by Boost.Beast.
+#include "src/runtime/line/http_channel.h"
+
+#include <algorithm>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <charconv>
+#include <utility>
+
+namespace tarragondale::runtime {
+
+namespace net = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+namespace {
+
+constexpr size_t kMaxAnswerBytes = 16U << 20;
+// Calls overlap rarely: a watch, a renewal and a read.
+constexpr size_t kMaxIdleConnections = 3;
+
+}  // namespace
+
+net::ip::tcp::endpoint ParseEndpoint(const std::string& address) {
+  const size_t colon = std::min(address.rfind(':'), address.size());
+  beast::error_code error;
+  const auto host = net::ip::make_address(address.substr(0, colon), error);
+  uint16_t port = 0;
+  if (colon < address.size()) {
+    std::from_chars(address.data() + colon + 1, address.data() + address.size(),
+                    port);
+  }
+  return error ? net::ip::tcp::endpoint() : net::ip::tcp::endpoint(host, port);
+}
+
+// One call at a time; `busy_` from its start to its callback.
+class http_channel::connection
+    : public std::enable_shared_from_this<connection> {
+ public:
+  explicit connection(net::io_context& context) : stream_(context) {}
+
+  bool busy() const { return busy_; }
+  bool open() const { return open_; }
+
+  void Start(const net::ip::tcp::endpoint& endpoint,
+             const std::string& host,
+             const platform::http_request& call,
+             duration limit,
+             callback done) {
+    busy_ = true;
+    sent_ = false;
+    done_ = std::move(done);
+    request_ = {};
+    request_.version(11);
+    request_.method_string(call.method);
+    request_.target(call.target);
+    request_.set(http::field::host, host);
+    for (const platform::http_header& header : call.headers) {
+      request_.set(header.name, header.value);
+    }
+    if (!call.body.empty()) {
+      request_.set(http::field::content_type, "application/json");
+    }
+    request_.body() = call.body;
+    request_.prepare_payload();
+    stream_.expires_after(limit);
+    if (open_) {
+      return Write();
+    }
+    buffer_.clear();
+    stream_.async_connect(endpoint, [self = shared_from_this()](
+                                        beast::error_code error) {
+      if (error) {
+        return self->Finish(error);
+      }
+      self->open_ = true;
+      self->stream_.socket().set_option(net::ip::tcp::no_delay(true), error);
+      self->Write();
+    });
+  }
+
+  void Close() {
+    open_ = false;
+    beast::error_code ignored;
+    stream_.socket().close(ignored);
+  }
+
+ private:
+  void Write() {
+    sent_ = true;
+    http::async_write(
+        stream_, request_,
+        [self = shared_from_this()](beast::error_code error, size_t) {
+          if (error) {
+            return self->Finish(error);
+          }
+          self->Read();
+        });
+  }
+
+  void Read() {
+    parser_.emplace();
+    parser_->body_limit(kMaxAnswerBytes);
+    http::async_read(
+        stream_, buffer_, *parser_,
+        [self = shared_from_this()](beast::error_code error, size_t) {
+          self->Finish(error);
+        });
+  }
+
+  void Finish(beast::error_code error) {
+    http_outcome outcome;
+    outcome.sent = sent_;
+    if (error) {
+      outcome.error = error.message();
+      Close();
+    } else {
+      outcome.status = parser_->get().result_int();
+      outcome.body = std::move(parser_->get().body());
+      if (!parser_->keep_alive()) {
+        Close();
+      }
+    }
+    if (open_) {
+      stream_.expires_never();
+    }
+    busy_ = false;
+    // The callback may start the next call on this connection.
+    const callback done = std::exchange(done_, {});
+    done(std::move(outcome));
+  }
+
+  beast::tcp_stream stream_;
+  beast::flat_buffer buffer_;
+  http::request<http::string_body> request_;
+  std::optional<http::response_parser<http::string_body>> parser_;
+  callback done_;
+  bool busy_ = false;
+  bool open_ = false;
+  bool sent_ = false;
+};
+
+http_channel::http_channel(net::io_context& context, const std::string& address)
+    : context_(context), address_(address), endpoint_(ParseEndpoint(address)) {}
+
+http_channel::~http_channel() {
+  for (const auto& each : connections_) {
+    each->Close();
+  }
+}
+
+void http_channel::Call(const platform::http_request& request,
+                        duration limit,
+                        callback done) {
+  TakeIdle()->Start(endpoint_, address_, request, limit, std::move(done));
+}
+
+size_t http_channel::running() const {
+  return static_cast<size_t>(
+      std::count_if(connections_.begin(), connections_.end(),
+                    [](const auto& each) { return each->busy(); }));
+}
+
+std::shared_ptr<http_channel::connection> http_channel::TakeIdle() {
+  // Those that ended are forgotten, beyond a few that stay open.
+  std::erase_if(connections_, [](const auto& each) {
+    return !each->busy() && !each->open();
+  });
+  std::shared_ptr<connection> idle;
+  size_t open_count = 0;
+  for (const auto& each : connections_) {
+    if (!each->busy()) {
+      idle = each;
+      ++open_count;
+    }
+  }
+  if (open_count > kMaxIdleConnections) {
+    std::erase_if(connections_, [&](const auto& each) {
+      const bool surplus = !each->busy() && each != idle;
+      if (surplus) {
+        each->Close();
+      }
+      return surplus;
+    });
+  }
+  if (!idle) {
+    idle = std::make_shared<connection>(context_);
+    connections_.push_back(idle);
+  }
+  return idle;
+}
+
+}  // namespace tarragondale::runtime
--- /dev/null
+++ b/src/runtime/line/http_channel.h
@@ -0,0 +1,61 @@
+// HTTP calls to one service of the platform, without blocking.
+#ifndef TARRAGONDALE_SRC_RUNTIME_LINE_HTTP_CHANNEL_H_
+#define TARRAGONDALE_SRC_RUNTIME_LINE_HTTP_CHANNEL_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "platform/platform.h"
+#include "tarragondale/base.h"
+
+namespace tarragondale::runtime {
+
+/// @brief What became of a call.
+struct http_outcome {
+  bool sent = false;    ///< The call may have arrived.
+  unsigned status = 0;  ///< 0: no answer.
+  std::string body;
+  std::string error;
+};
+
+/// @brief Keeps connections to a service open and runs one call at a time on
+/// each. Used by one thread.
+class http_channel {
+ public:
+  using callback = std::function<void(http_outcome)>;
+
+  /// @param address IP:port.
+  http_channel(boost::asio::io_context& context, const std::string& address);
+  ~http_channel();
+  http_channel(const http_channel&) = delete;
+  http_channel& operator=(const http_channel&) = delete;
+
+  /// @brief Calls `done` once, within `limit`, and never before returning.
+  void Call(const platform::http_request& request,
+            duration limit,
+            callback done);
+
+  /// @brief Calls whose answer is due.
+  size_t running() const;
+
+ private:
+  class connection;
+
+  std::shared_ptr<connection> TakeIdle();
+
+  boost::asio::io_context& context_;
+  const std::string address_;
+  boost::asio::ip::tcp::endpoint endpoint_;
+  std::vector<std::shared_ptr<connection>> connections_;
+};
+
+/// @brief `IP:port` as an endpoint; port 0 if the text is none.
+boost::asio::ip::tcp::endpoint ParseEndpoint(const std::string& address);
+
+}  // namespace tarragondale::runtime
+
+#endif  // TARRAGONDALE_SRC_RUNTIME_LINE_HTTP_CHANNEL_H_
--- /dev/null
+++ b/src/runtime/line/store_mirror.cc
@@ -0,0 +1,118 @@
+// Load and watch of the store's keys.
+#include "src/runtime/line/store_mirror.h"
+
+namespace tarragondale::runtime {
+
+using store::keyspace::call_status;
+
+namespace {
+
+constexpr duration kLoadLimit = milliseconds(1'200);
+// A watch that is silent for longer has lost its connection. Short enough that
+// a configuration is in force in time after a connection went silent.
+constexpr milliseconds kWatchWait(2'000);
+constexpr duration kWatchLimit = milliseconds(2'900);
+constexpr int64_t kRetryMinMs = 150;
+constexpr int64_t kRetryMaxMs = 400;
+
+}  // namespace
+
+store_mirror::store_mirror(boost::asio::io_context& context,
+                           http_channel& channel,
+                           uint64_t seed,
+                           handlers handlers)
+    : channel_(channel),
+      handlers_(std::move(handlers)),
+      timer_(context),
+      random_(seed) {}
+
+void store_mirror::Stop() {
+  stopped_ = true;
+  timer_.cancel();
+}
+
+void store_mirror::Load() {
+  loading_.clear();
+  revision_ = 0;
+  LoadPage("");
+}
+
+// Pages are no snapshot, so the watch starts at the first page's revision and
+// repeats changes that later pages may hold already.
+void store_mirror::LoadPage(std::string after) {
+  const store::keyspace::call call =
+      store::keyspace::range_call{"", std::move(after)};
+  channel_.Call(platform::EncodeStoreCall(call), kLoadLimit,
+                [this, call](const http_outcome& outcome) {
+                  if (stopped_) {
+                    return;
+                  }
+                  auto reply = platform::DecodeStoreReply(call, outcome.status,
+                                                          outcome.body);
+                  if (reply.status != call_status::kDone) {
+                    SetReachable(false, outcome.error.empty() ? reply.reason
+                                                              : outcome.error);
+                    return RetryLater(true);
+                  }
+                  SetReachable(true, "");
+                  if (revision_ == 0) {
+                    revision_ = reply.revision;
+                  }
+                  const std::string last = reply.items.empty()
+                                               ? std::string()
+                                               : reply.items.back().key;
+                  std::move(reply.items.begin(), reply.items.end(),
+                            std::back_inserter(loading_));
+                  if (reply.more && !last.empty()) {
+                    return LoadPage(last);
+                  }
+                  handlers_.loaded(std::exchange(loading_, {}));
+                  Watch();
+                });
+}
+
+void store_mirror::Watch() {
+  const store::keyspace::call call =
+      store::keyspace::watch_call{"", revision_, kWatchWait};
+  channel_.Call(platform::EncodeStoreCall(call), kWatchLimit,
+                [this, call](const http_outcome& outcome) {
+                  if (stopped_) {
+                    return;
+                  }
+                  auto reply = platform::DecodeStoreReply(call, outcome.status,
+                                                          outcome.body);
+                  if (reply.status == call_status::kCompacted) {
+                    return Load();
+                  }
+                  if (reply.status != call_status::kDone) {
+                    SetReachable(false, outcome.error.empty() ? reply.reason
+                                                              : outcome.error);
+                    return RetryLater(false);
+                  }
+                  SetReachable(true, "");
+                  revision_ = std::max(revision_, reply.revision);
+                  if (!reply.changes.empty()) {
+                    handlers_.changed(std::move(reply.changes));
+                  }
+                  Watch();
+                });
+}
+
+void store_mirror::RetryLater(bool load) {
+  std::uniform_int_distribution<int64_t> pause(kRetryMinMs, kRetryMaxMs);
+  timer_.expires_after(milliseconds(pause(random_)));
+  timer_.async_wait([this, load](boost::system::error_code error) {
+    if (!error && !stopped_) {
+      load ? Load() : Watch();
+    }
+  });
+}
+
+void store_mirror::SetReachable(bool reachable, const std::string& reason) {
+  if (reachable_ != reachable) {
+    reachable_ = reachable;
+    handlers_.reachable(reachable, reason);
+  }
+}
+
+}  // namespace tarragondale::runtime
--- /dev/null
+++ b/src/runtime/line/store_mirror.h
@@ -0,0 +1,55 @@
+// Copy of the store's keys, kept current by a watch.
+#ifndef TARRAGONDALE_SRC_RUNTIME_LINE_STORE_MIRROR_H_
+#define TARRAGONDALE_SRC_RUNTIME_LINE_STORE_MIRROR_H_
+
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "src/runtime/line/http_channel.h"
+#include "tarragondale/store/keyspace.h"
+
+namespace tarragondale::runtime {
+
+/// @brief Loads all keys, then follows changes, and loads anew when the
+/// store's history does not reach back. Used by one thread.
+class store_mirror {
+ public:
+  struct handlers {
+    /// All keys, read page by page; keys that are missing are gone.
+    std::function<void(std::vector<store::keyspace::item>)> loaded;
+    std::function<void(std::vector<store::keyspace::change>)> changed;
+    /// The store answers (again), or does not (any more), with the reason.
+    std::function<void(bool reachable, const std::string& reason)> reachable;
+  };
+
+  store_mirror(boost::asio::io_context& context,
+               http_channel& channel,
+               uint64_t seed,
+               handlers handlers);
+
+  void Start() { Load(); }
+  void Stop();
+
+ private:
+  void Load();
+  void LoadPage(std::string after);
+  void Watch();
+  void RetryLater(bool load);
+  void SetReachable(bool reachable, const std::string& reason);
+
+  http_channel& channel_;
+  handlers handlers_;
+  boost::asio::steady_timer timer_;
+  std::mt19937_64 random_;
+  std::vector<store::keyspace::item> loading_;
+  int64_t revision_ = 0;  ///< Changes up to here are known.
+  bool reachable_ = false;
+  bool stopped_ = false;
+};
+
+}  // namespace tarragondale::runtime
+
+#endif  // TARRAGONDALE_SRC_RUNTIME_LINE_STORE_MIRROR_H_
--- a/src/wire/fields.h
+++ b/src/wire/fields.h
@@ -161,6 +161,51 @@
                                             &reach_answer::report);
 };
 
+template <>
+struct fields<primary_state> {
+  static constexpr auto kTable = FieldTable(&primary_state::group,
+                                            &primary_state::member,
+                                            &primary_state::term,
+                                            &primary_state::epoch,
+                                            &primary_state::moving,
+                                            &primary_state::stopped_epoch,
+                                            &primary_state::position,
+                                            &primary_state::position_age_ms,
+                                            &primary_state::answer_age_ms,
+                                            &primary_state::failing_ms);
+};
+
+template <>
+struct fields<organisation_usage> {
+  static constexpr auto kTable = FieldTable(&organisation_usage::organisation,
+                                            &organisation_usage::admitted,
+                                            &organisation_usage::demand_per_s);
+};
+
+template <>
+struct fields<fleet_digest> {
+  static constexpr auto kTable =
+      FieldTable(&fleet_digest::sequence,
+                 &fleet_digest::echo,
+                 &fleet_digest::incarnation,
+                 &fleet_digest::peer_address,
+                 &fleet_digest::configuration_version,
+                 &fleet_digest::confirmed_age_ms,
+                 &fleet_digest::primaries,
+                 &fleet_digest::usage);
+};
+
+template <>
+struct fields<configuration_request> {
+  static constexpr auto kTable = FieldTable(&configuration_request::version);
+};
+
+template <>
+struct fields<configuration_copy> {
+  static constexpr auto kTable =
+      FieldTable(&configuration_copy::version, &configuration_copy::value);
+};
+
 /// @brief Highest valid value of an enum in a message.
 template <typename E>
 inline constexpr int kLastEnumerator = 0;
--- a/src/wire/wire_test.cc
+++ b/src/wire/wire_test.cc
@@ -27,6 +27,19 @@
   return request;
 }
 
+fleet_digest FullDigest() {
+  fleet_digest digest;
+  digest.sequence = 5;
+  digest.echo = 4;
+  digest.incarnation = 1700000000000;
+  digest.peer_address = "127.0.0.1:1";
+  digest.configuration_version = 7;
+  digest.confirmed_age_ms = 40;
+  digest.primaries = {{"orders", "i-1", 3, 412, true, 412, {3, 77}, 12, 5, -1}};
+  digest.usage = {{"north-office", 90, 31}};
+  return digest;
+}
+
 std::vector<message> OneOfEachType() {
   execute_answer answer;
   answer.id = {1, 2};
@@ -62,7 +75,10 @@
           {"vm-1", probe{3, "vm-2", "vm-1", {8, 20}, {vm}}},
           {"vm-1", probe_answer{3, "vm-2", "vm-1", {8, 20}, {vm}}},
           {"vm-1", reach_request{4, "orders", "orders-2"}},
-          {"vm-1", reach_answer{4, "orders", report}}};
+          {"vm-1", reach_answer{4, "orders", report}},
+          {"vm-1", FullDigest()},
+          {"vm-1", configuration_request{7}},
+          {"vm-1", configuration_copy{8, "{\"version\":8}"}}};
 }
 
 // Guards against a member that is missing from a field table or out of order.
