--- a/src/interactive/broker_dispatch.cc
+++ b/src/interactive/broker_dispatch.cc
@@ -77,8 +77,7 @@
 session_broker::implementation::Candidates(session& of) {
   std::vector<candidate> found;
   work& waits = *of.current;
-  const std::string group = GroupOf(of);
-  const primary_right* const right = ValidRight(group);
+  const primary_right* const right = ValidRight(waits.settings.group);
   if (right != nullptr && !right->closing) {
     member* const primary = pool_.Find(right->member);
     if (primary != nullptr &&
@@ -104,7 +103,7 @@
 void session_broker::implementation::AddReplicas(session& of,
                                                  std::vector<candidate>& to) {
   work& waits = *of.current;
-  const route& settings = of.open ? of.open->settings : *RouteOf(of);
+  const route& settings = waits.settings;
   const auto history = positions_.find(settings.group);
   const auto covering =
       history == positions_.end()
@@ -151,14 +150,6 @@
   return &found->second;
 }
 
-std::string session_broker::implementation::GroupOf(const session& of) const {
-  if (of.open) {
-    return of.open->settings.group;
-  }
-  const route* const settings = RouteOf(of);
-  return settings == nullptr ? "" : settings->group;
-}
-
 // Expected time until the answer: the way, and the queue of own statements.
 duration session_broker::implementation::CostOf(const session& of,
                                                 const member& to) const {
--- /dev/null
+++ b/src/interactive/broker_harness.h
@@ -0,0 +1,259 @@
+// Plays callers and members around a session broker, in virtual time.
+#ifndef TARRAGONDALE_SRC_INTERACTIVE_BROKER_HARNESS_H_
+#define TARRAGONDALE_SRC_INTERACTIVE_BROKER_HARNESS_H_
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "tarragondale/interactive.h"
+
+namespace tarragondale::interactive {
+
+/// @brief One group `g` with the members `p` (primary), `r1` and `r2`, and the
+/// databases `strict`, `bounded` and `own` for the three kinds of freshness.
+/// The key of organisation `red` is `key-red`, and so on. Links open at once
+/// unless their member is down; statements wait until `Answer`.
+class broker_harness {
+ public:
+  explicit broker_harness(broker_options options = DefaultOptions())
+      : broker_(std::move(options)) {
+    catalogue_.version = 1;
+    AddRoute("strict", freshness::kPrimary);
+    AddRoute("bounded", freshness::kBoundedStaleness);
+    AddRoute("own", freshness::kReadYourWrites);
+    catalogue_.groups["g"] = {"g", 16, 0};
+    for (const char* name : {"red", "blue", "green"}) {
+      catalogue_.organisations[name] = {name, 1'000, 1'000};
+      catalogue_.key_owners[std::string("key-") + name] = name;
+    }
+    Configure();
+    for (const char* id : {"p", "r1", "r2"}) {
+      members_[id] = {id, "g", "127.0.0.1:1", "z", 2, false, id[0] == 'p', 1};
+    }
+    PublishMembers();
+    GrantRight("p", 1);
+  }
+
+  static broker_options DefaultOptions() {
+    broker_options options;
+    options.vm = "vm-1";
+    options.availability_zone = "z";
+    options.region = "r";
+    options.region_of_zone = {{"z", "r"}};
+    return options;
+  }
+
+  catalogue& configuration() { return catalogue_; }
+  void Configure() {
+    Step(catalogue_changed{std::make_shared<const catalogue>(catalogue_)});
+  }
+
+  member_directory& members() { return members_; }
+  void PublishMembers() {
+    Step(members_changed{std::make_shared<const member_directory>(members_)});
+  }
+
+  /// @brief Gives the right to use `member` as primary for `span`.
+  void GrantRight(const std::string& member,
+                  int64_t epoch,
+                  duration span = seconds(60)) {
+    Step(rights_changed{{{"g", {member, epoch, now_ + span, false}}}});
+  }
+
+  void Open(session_id session,
+            const std::string& database,
+            const std::string& key = "key-red") {
+    Step(caller_opened{session, database, key});
+  }
+
+  void Send(session_id session,
+            statement_kind kind,
+            const std::string& text = "",
+            const std::string& name = "",
+            const std::string& argument = "",
+            bool writes = false) {
+    caller_statement statement;
+    statement.id = "q" + std::to_string(++last_query_);
+    statement.kind = kind;
+    statement.text = text;
+    statement.name = name;
+    statement.argument = argument;
+    statement.writes = writes;
+    Step(caller_sent{session, std::move(statement)});
+  }
+
+  void Step(const event& input) { Apply(broker_.Step(now_, input)); }
+
+  /// @brief Lets time pass in steps of 10 ms.
+  void Wait(duration span) {
+    const time_point end = now_ + span;
+    while (now_ < end) {
+      now_ += std::min<duration>(
+          milliseconds(10), std::chrono::duration_cast<duration>(end - now_));
+      Step(tick{});
+    }
+  }
+
+  /// @brief A link as the members see it.
+  struct seen_link {
+    std::string member;
+    std::string organisation;
+    std::deque<member_statement> unanswered;
+    std::vector<member_statement> all;
+    std::map<std::string, std::string> values;
+    std::set<std::string> prepared;
+    bool in_transaction = false;
+  };
+  std::map<link_id, seen_link>& links() { return links_; }
+
+  /// @brief The link whose next unanswered statement runs for a caller or
+  /// begins a transaction; 0 if there is none.
+  link_id Busy(const std::string& member = "") const {
+    for (const auto& [id, each] : links_) {
+      if (!each.unanswered.empty() &&
+          (member.empty() || each.member == member)) {
+        return id;
+      }
+    }
+    return 0;
+  }
+
+  /// @brief Answers the oldest statement of a link.
+  void Answer(link_id id,
+              member_code code = member_code::kDone,
+              std::vector<std::string> rows = {},
+              log_position position = {1, 10}) {
+    seen_link& on = links_.at(id);
+    const member_statement statement = on.unanswered.front();
+    on.unanswered.pop_front();
+    member_answer answer;
+    answer.code = code;
+    answer.rows = std::move(rows);
+    answer.signature = "sig-" + on.member;
+    answer.position = position;
+    Run(on, statement, code);
+    answer.state =
+        on.in_transaction ? transaction_state::kOpen : transaction_state::kIdle;
+    Step(link_answered{id, std::move(answer)});
+  }
+
+  /// @brief Answers everything as done until nothing is left.
+  void AnswerAll(log_position position = {1, 10}) {
+    for (link_id id = Busy(); id != 0; id = Busy()) {
+      Answer(id, member_code::kDone, {}, position);
+    }
+  }
+
+  void Lose(link_id id, bool connected = true) {
+    links_.erase(id);
+    Step(link_lost{id, connected, "test"});
+  }
+
+  /// @brief Refuses new connections to a member, as one that is down.
+  std::set<std::string>& down() { return down_; }
+
+  /// @brief Answers to a session since the last call.
+  std::vector<answer_caller> TakeAnswers(session_id session) {
+    return std::exchange(answers_[session], {});
+  }
+  answer_caller LastAnswer(session_id session) {
+    const auto all = TakeAnswers(session);
+    return all.empty() ? answer_caller{.code = result_code::kInternal,
+                                       .reason = "no answer"}
+                       : all.back();
+  }
+
+  session_broker& broker() { return broker_; }
+  time_point now() const { return now_; }
+  size_t opened() const { return opened_; }
+
+ private:
+  void AddRoute(const std::string& database, freshness reads) {
+    route row;
+    row.name = "route-" + database;
+    row.database = database;
+    row.group = "g";
+    row.reads = reads;
+    row.statement_timeout = milliseconds(1'000);
+    row.max_staleness = milliseconds(1'500);
+    catalogue_.routes[database] = row;
+  }
+
+  // What the statement does to the member's side of the link.
+  static void Run(seen_link& on,
+                  const member_statement& statement,
+                  member_code code) {
+    if (code != member_code::kDone) {
+      return;
+    }
+    using step = member_statement::step;
+    switch (statement.what) {
+      case step::kReset:
+        on.values.clear();
+        on.prepared.clear();
+        break;
+      case step::kSet:
+        on.values[statement.name] = statement.argument;
+        break;
+      case step::kPrepare:
+        on.prepared.insert(statement.name);
+        break;
+      case step::kBegin:
+      case step::kBeginReadOnly:
+        on.in_transaction = true;
+        break;
+      case step::kCommit:
+      case step::kRollback:
+        on.in_transaction = false;
+        break;
+      default:
+        break;
+    }
+  }
+
+  void Apply(std::vector<action> actions) {
+    for (action& each : actions) {
+      if (auto* answer = std::get_if<answer_caller>(&each)) {
+        answers_[answer->session].push_back(*answer);
+      } else if (auto* open = std::get_if<open_link>(&each)) {
+        ++opened_;
+        if (down_.contains(open->member)) {
+          Step(link_lost{open->link, false, "down"});
+          continue;
+        }
+        links_[open->link] = {open->member, open->organisation, {}, {}, {}, {},
+                              false};
+        Step(link_opened{open->link, log_position{1, 1}});
+      } else if (auto* send = std::get_if<send_link>(&each)) {
+        if (links_.contains(send->link)) {
+          seen_link& on = links_[send->link];
+          for (member_statement& statement : send->statements) {
+            on.unanswered.push_back(statement);
+            on.all.push_back(std::move(statement));
+          }
+        }
+      } else if (auto* close = std::get_if<close_link>(&each)) {
+        links_.erase(close->link);
+      }
+    }
+  }
+
+  session_broker broker_;
+  time_point now_ = TimeFromMs(1'000'000);
+  catalogue catalogue_;
+  member_directory members_;
+  std::map<link_id, seen_link> links_;
+  std::set<std::string> down_;
+  std::map<session_id, std::vector<answer_caller>> answers_;
+  size_t opened_ = 0;
+  int last_query_ = 0;
+};
+
+}  // namespace tarragondale::interactive
+
+#endif  // TARRAGONDALE_SRC_INTERACTIVE_BROKER_HARNESS_H_
--- a/src/interactive/broker_implementation.h
+++ b/src/interactive/broker_implementation.h
@@ -94,7 +94,6 @@
   std::vector<candidate> Candidates(session& of);
   void AddReplicas(session& of, std::vector<candidate>& to);
   const primary_right* ValidRight(std::string_view group) const;
-  std::string GroupOf(const session& of) const;
   duration CostOf(const session& of, const member& to) const;
   bool UseCandidate(session& of, const candidate& chosen);
   void OpenFor(session& of, member& to);
--- a/src/interactive/broker_links.cc
+++ b/src/interactive/broker_links.cc
@@ -294,7 +294,7 @@
 
 bool session_broker::implementation::OnOwnPrimary(const session& of,
                                                   const link& on) const {
-  const primary_right* const right = ValidRight(GroupOf(of));
+  const primary_right* const right = ValidRight(of.current->settings.group);
   return right != nullptr && right->member == on.member;
 }
 
--- a/src/interactive/broker_statements.cc
+++ b/src/interactive/broker_statements.cc
@@ -201,6 +201,7 @@
   started.primary_only = started.writes ||
                          settings.reads == freshness::kPrimary ||
                          (of.open && !of.open->read_only);
+  started.settings = settings;
   started.statement = std::move(statement);
   started.arrived = arrived;
   started.deadline = arrived + settings.statement_timeout;
@@ -336,9 +337,7 @@
 }
 
 void session_broker::implementation::Enqueue(session& of) {
-  const int priority =
-      of.open ? of.open->settings.priority : RouteOf(of)->priority;
-  waiting_.insert({priority, of.current->arrived, of.id});
+  waiting_.insert({of.current->settings.priority, of.current->arrived, of.id});
 }
 
 void session_broker::implementation::Dequeue(session& of) {
--- a/src/interactive/session.h
+++ b/src/interactive/session.h
@@ -22,6 +22,7 @@
 /// @brief A statement that needs a member.
 struct work {
   caller_statement statement;
+  route settings;       ///< As of its arrival, or of the transaction's begin.
   bool writes = false;  ///< It may change data.
   bool primary_only = false;
   /// Sent to the primary without a required position: the answer counts only
