--- a/include/tarragondale/interactive.h
+++ b/include/tarragondale/interactive.h
@@ -369,7 +369,7 @@
 
   duration connect_limit = milliseconds(1'000);
   duration member_backoff = milliseconds(300);  ///< After a failed connection.
-  duration too_many_backoff = milliseconds(700);
+  duration too_many_backoff = milliseconds(200);
   duration busy_backoff = milliseconds(25);
   /// A member that leaves gets no new work after this.
   duration leaving_limit = milliseconds(5'000);
--- a/include/tarragondale/leadership.h
+++ b/include/tarragondale/leadership.h
@@ -3,10 +3,15 @@
 //
 // A group's record in the store names its primary. A VM may use the primary
 // while it has a right: a linearizable read of the record that was sent less
-// than `right_lifetime` ago, while its own registration lasts. Before a
-// promotion the VM that has the duty writes the record as moving. From then on
-// no right can be had or renewed, and it promotes once every registered VM has
-// given its right up, or the last of them has run out.
+// than `right_lifetime` ago, by itself or by a VM that told it so, while its
+// own registration lasts. Before a promotion the VM that has the duty writes
+// the record as moving. From then on no right can be had or renewed, and it
+// promotes once every VM has given its right up, or the right has run out.
+//
+// While the store is away from all VMs nobody can write a record, so rights
+// may go on: a VM extends its right by `extension_lifetime` from the time for
+// which it knows of every other VM that this one knows of no change. A VM that
+// others may not know of yet waits longer before it promotes.
 #ifndef TARRAGONDALE_LEADERSHIP_H_
 #define TARRAGONDALE_LEADERSHIP_H_
 
@@ -48,6 +53,9 @@
   std::string availability_zone;
   std::string region;
   int64_t incarnation = 0;
+  /// By group: the VM gave its rights below this epoch up. Written when the VM
+  /// with the duty can't be told directly.
+  std::map<std::string, int64_t> stopped = {};
 
   bool operator==(const vm_registration&) const = default;
 };
@@ -198,12 +206,14 @@
   uint64_t seed = 0;
 
   duration tick_interval = milliseconds(50);
-  /// Longer than the store's usual outages, since no right is renewed then.
-  duration right_lifetime = milliseconds(6'500);
+  duration right_lifetime = milliseconds(3'000);
+  /// Less than `right_lifetime`, and more than three intervals of digests.
+  duration extension_lifetime = milliseconds(2'400);
   /// Taken off every right for clocks that run at different speeds.
   duration right_margin = milliseconds(300);
-  duration confirm_interval = milliseconds(1'500);
-  duration registration_lifetime = milliseconds(12'000);
+  duration confirm_interval = milliseconds(1'000);
+  /// Bounds rights without the store, so longer than its usual outages.
+  duration registration_lifetime = milliseconds(15'000);
   duration registration_interval = milliseconds(3'000);
   duration duty_lifetime = milliseconds(3'000);
   duration duty_interval = milliseconds(900);
@@ -243,6 +253,7 @@
 struct group_state {
   primary_record record;
   int64_t stopped_epoch = 0;  ///< No right below this epoch is held.
+  bool changing = false;  ///< This VM is about to have the primary replaced.
 };
 
 /// @brief Rights to use primaries, and their change. A deterministic state
@@ -263,6 +274,12 @@
   /// @brief When the read of the newest confirmation was sent; empty: never.
   std::optional<time_point> confirmed_at() const;
 
+  /// @brief Of this process; higher than that of earlier ones of this VM.
+  int64_t incarnation() const;
+
+  /// @brief True from `leave_started` on: no right is held any more.
+  bool leaving() const;
+
   /// @brief True once this VM gave up everything after `leave_started`.
   bool left() const;
 
--- a/include/tarragondale/wire.h
+++ b/include/tarragondale/wire.h
@@ -229,6 +229,7 @@
   int64_t term = 0;
   int64_t epoch = 0;          ///< Revision of the group's record in the store.
   bool moving = false;        ///< The primary is being replaced.
+  bool changing = false;      ///< The sender is about to have it replaced.
   int64_t stopped_epoch = 0;  ///< The sender holds no right below this epoch.
   log_position position;      ///< Newest observed position of the primary,
   int64_t position_age_ms = -1;  ///< observed this long ago; -1: none.
@@ -253,6 +254,7 @@
   uint64_t echo = 0;      ///< Newest sequence received from the receiver.
   int64_t incarnation = 0;
   std::string peer_address;  ///< Of the sender, for VMs that don't know it.
+  bool leaving = false;      ///< The sender holds no rights any more and ends.
   int64_t configuration_version = 0;
   /// The sender's newest linearizable read of all primaries' records was sent
   /// this long ago; -1: never.
--- a/src/interactive/broker.cc
+++ b/src/interactive/broker.cc
@@ -102,6 +102,11 @@
 // --- Callers ---
 
 void session_broker::implementation::On(const caller_opened& event) {
+  if (!catalogue_ && early_.size() < options_.max_sessions) {
+    // Taken when the configuration arrives, moments after the start.
+    early_.push_back(event);
+    return;
+  }
   ++metrics_.sessions;
   session opened;
   opened.id = event.session;
@@ -162,6 +167,9 @@
 }
 
 void session_broker::implementation::On(const caller_closed& event) {
+  std::erase_if(early_, [&](const caller_opened& each) {
+    return each.session == event.session;
+  });
   EndSession(event.session);
 }
 
@@ -180,6 +188,9 @@
       found->second.SetLimit(row.rate, row.burst, now_);
     }
   }
+  for (const caller_opened& each : std::exchange(early_, {})) {
+    On(each);
+  }
   dispatch_needed_ = true;
 }
 
--- a/src/interactive/broker_implementation.h
+++ b/src/interactive/broker_implementation.h
@@ -158,6 +158,7 @@
   std::map<std::string, shared_rate, std::less<>> rates_;
   int vms_ = 1;
   std::unordered_map<session_id, session> sessions_;
+  std::vector<caller_opened> early_;  ///< Came before a configuration.
   // Sessions whose statement waits for a link, and all with a statement.
   std::set<waiting_key> waiting_;
   std::set<session_id> active_;
--- a/src/interactive/member_pool.cc
+++ b/src/interactive/member_pool.cc
@@ -6,9 +6,14 @@
 namespace tarragondale::interactive {
 namespace {
 
-// Connections of a member that no VM plans with: those of VMs that have just
-// failed linger for seconds, and status checks need one.
+// Connections of a member that no VM plans with: status checks need one.
 constexpr int kReservedConnections = 1;
+// Part of a member's connections that all VMs together plan with. Those of VMs
+// that lost power linger for seconds, and the new processes need as many.
+constexpr int kPlannedPart = 2;
+// Where that leaves a VM fewer than this many, more of them are planned with:
+// each change of the organisation on a connection costs a new one.
+constexpr int kLeastConnections = 2;
 // How many times more links a VM in the member's zone gets than one elsewhere.
 constexpr int kLocalWeight = 3;
 
@@ -150,7 +155,10 @@
 size_t member_pool::Share(const member& of,
                           int connection_cap,
                           bool primary) const {
-  const int available = std::max(1, connection_cap - kReservedConnections);
+  const int available = std::max(
+      1, std::min(connection_cap - kReservedConnections,
+                  std::max(connection_cap / kPlannedPart - kReservedConnections,
+                           kLeastConnections * vms_)));
   const auto found = vms_by_zone_.find(of.record.availability_zone);
   const int local = found == vms_by_zone_.end() ? 0 : found->second;
   if (primary || local == 0) {
--- a/src/interactive/shared_rate.cc
+++ b/src/interactive/shared_rate.cc
@@ -17,6 +17,10 @@
 // Part of the burst that a VM assumes to be there when it starts; others may
 // have spent the rest.
 constexpr double kStartLevel = 0.5;
+// Until other VMs were heard, for at most this long after the start, a VM may
+// spend this many even shares.
+constexpr duration kStartSpan = milliseconds(2'000);
+constexpr double kStartFactor = 2.0;
 constexpr double kWhole = 1 - 1e-9;
 
 double Seconds(duration span) {
@@ -34,6 +38,7 @@
       burst_(burst),
       vms_(vms),
       balance_(burst * kStartLevel),
+      started_(now),
       updated_(now),
       window_start_(now),
       demand_updated_(now) {
@@ -95,9 +100,7 @@
 }
 
 void shared_rate::Refill(time_point now) {
-  // VMs that were not heard may spend their even share unseen.
-  const int unheard = std::max(0, vms_ - 1 - static_cast<int>(peers_.size()));
-  const double known = 1.0 - static_cast<double>(unheard) / std::max(1, vms_);
+  const double known = 1.0 - PartUnheard(now);
   balance_ =
       std::min(burst_, balance_ + Elapsed(updated_, now) * rate_ * known);
   updated_ = std::max(updated_, now);
@@ -109,10 +112,24 @@
       Share(now) * (std::max(balance_, 0.0) + rate_ * Seconds(kWindow));
 }
 
+// VMs that were not heard may spend their even share unseen. Right after the
+// start none was heard, and callers that were cut off return all at once.
+double shared_rate::PartUnheard(time_point now) const {
+  if (now - started_ < kStartSpan) {
+    return 0;
+  }
+  const int unheard = std::max(0, vms_ - 1 - static_cast<int>(peers_.size()));
+  return static_cast<double>(unheard) / std::max(1, vms_);
+}
+
 double shared_rate::Share(time_point now) const {
   const double even = 1.0 / std::max(1, vms_);
-  if (vms_ <= 1 || peers_.empty()) {
-    return even;
+  if (vms_ <= 1) {
+    return 1;
+  }
+  if (peers_.empty()) {
+    return now - started_ < kStartSpan ? std::min(1.0, even * kStartFactor)
+                                       : even;
   }
   const double own = DemandPerSecond(now);
   double total = own;
--- a/src/interactive/shared_rate.h
+++ b/src/interactive/shared_rate.h
@@ -55,10 +55,13 @@
   void StartWindow(time_point now);
   double Share(time_point now) const;
 
+  double PartUnheard(time_point now) const;
+
   double rate_;
   double burst_;
   int vms_;
   double balance_;
+  const time_point started_;
   time_point updated_;
   time_point window_start_;
   double window_allowance_ = 0;
--- a/src/leadership/keeper.cc
+++ b/src/leadership/keeper.cc
@@ -29,6 +29,14 @@
   return implementation_->confirmed_at();
 }
 
+int64_t keeper::incarnation() const {
+  return implementation_->incarnation();
+}
+
+bool keeper::leaving() const {
+  return implementation_->leaving();
+}
+
 bool keeper::left() const {
   return implementation_->left();
 }
@@ -46,7 +54,8 @@
   std::map<std::string, group_state, std::less<>> groups;
   for (const auto& [group, record] : records_) {
     const auto stopped = stopped_.find(group);
-    groups[group] = {record, stopped == stopped_.end() ? 0 : stopped->second};
+    groups[group] = {record, stopped == stopped_.end() ? 0 : stopped->second,
+                     handovers_.contains(group)};
   }
   return groups;
 }
@@ -73,9 +82,15 @@
   if (!duty_listed) {
     SeeDuty(std::nullopt);
   }
-  fleet_dirty_ = fleet_dirty_ || std::erase_if(vms_, [&](const auto& each) {
-                                   return !vms.contains(each.first);
-                                 }) > 0;
+  std::vector<std::string> ended;
+  for (const auto& [name, vm] : vms_) {
+    if (!vms.contains(name)) {
+      ended.push_back(name);
+    }
+  }
+  for (const std::string& name : ended) {
+    SeeRemoved(VmKey(name));
+  }
   PublishFleet();
 }
 
@@ -94,9 +109,7 @@
     if (!record) {
       return invalid(record.error());
     }
-    vm_registration& known = vms_[item.key.substr(VmPrefix().size())];
-    fleet_dirty_ = fleet_dirty_ || known != *record;
-    known = *record;
+    SeeVm(item.key.substr(VmPrefix().size()), *record);
   } else if (item.key == DutyKey()) {
     const auto record = DecodeDuty(item);
     if (!record) {
@@ -106,10 +119,27 @@
   }
 }
 
+void keeper::implementation::SeeVm(const std::string& name,
+                                   const vm_registration& record) {
+  if (name == self_.name && !registered_ &&
+      record.incarnation >= self_.incarnation) {
+    // An earlier process of this VM, whose clock was ahead.
+    self_.incarnation = record.incarnation + 1;
+  }
+  vm_registration& known = vms_[name];
+  fleet_dirty_ = fleet_dirty_ || known.incarnation != record.incarnation ||
+                 known.peer_address != record.peer_address;
+  known = record;
+  unregistered_.erase(name);
+}
+
 void keeper::implementation::SeeRemoved(std::string_view key) {
   if (key.starts_with(VmPrefix())) {
-    fleet_dirty_ = vms_.erase(std::string(key.substr(VmPrefix().size()))) > 0 ||
-                   fleet_dirty_;
+    const std::string name(key.substr(VmPrefix().size()));
+    if (vms_.erase(name) > 0) {
+      fleet_dirty_ = true;
+      unregistered_[name] = now_;
+    }
   } else if (key == DutyKey()) {
     SeeDuty(std::nullopt);
   }
@@ -140,6 +170,8 @@
     case call_kind::kListVms:
     case call_kind::kPublish:
       return OnHandoverAnswer(call, event);
+    case call_kind::kTellStopped:
+      break;  // If it is lost, the right runs out.
   }
 }
 
@@ -164,8 +196,15 @@
   if (event.digest.incarnation < from.digest.incarnation) {
     return;  // A message of an earlier process.
   }
+  if (event.digest.incarnation > from.digest.incarnation) {
+    from.made_after.reset();
+  }
   from.digest = event.digest;
   from.heard = now_;
+  if (event.echo_sent) {
+    from.made_after =
+        std::max(from.made_after.value_or(*event.echo_sent), *event.echo_sent);
+  }
   for (const wire::primary_state& state : event.digest.primaries) {
     SeeRecord(state.group,
               {state.member, state.term, state.moving, "", state.epoch});
@@ -180,8 +219,8 @@
         ConfirmGroup(state.group, state.epoch, sent);
       }
     }
-    PublishRights();
   }
+  PublishRights();
   ContinueHandovers();
 }
 
@@ -252,6 +291,7 @@
     actions_.push_back(stop_primary_work{group, record.epoch + 1});
   }
   PublishRights();
+  actions_.push_back(send_digests{});
   if (duty_lease_.lease != 0) {
     Call(call_kind::kEndDuty, store::keyspace::revoke_call{duty_lease_.lease});
     duty_lease_ = {};
@@ -289,7 +329,7 @@
 }
 
 std::string keeper::implementation::Writer() const {
-  return fmt::format("{}/{}", options_.self.name, options_.self.incarnation);
+  return fmt::format("{}/{}", self_.name, self_.incarnation);
 }
 
 }  // namespace tarragondale::leadership
--- a/src/leadership/keeper_handover.cc
+++ b/src/leadership/keeper_handover.cc
@@ -232,42 +232,73 @@
     Call(call_kind::kListVms, store::keyspace::range_call{VmPrefix(), ""},
          group);
   }
-  const bool expired = now_ - move.recorded >= options_.right_lifetime;
-  if (expired || AllStopped(group, move)) {
-    Fire(group, move, handover_event::kStopped,
-         expired ? "the last right ended" : "all VMs gave their rights up");
+  if (AllStopped(group, move)) {
+    Fire(group, move, handover_event::kStopped, "no VM holds a right any more");
     ContinueChoice(group, move);
   }
 }
 
-// Every VM that was registered after the record was written as moving.
+// Every VM that may hold a right: those that were registered after the record
+// was written as moving, and those whose registration ended not long ago.
 bool keeper::implementation::AllStopped(const std::string& group,
-                                        handover& move) {
+                                        const handover& move) const {
   const auto own = stopped_.find(group);
-  if (!move.waits_for || own == stopped_.end() || own->second < move.epoch) {
+  if (own == stopped_.end() || own->second < move.epoch) {
     return false;
   }
-  return std::all_of(
-      move.waits_for->begin(), move.waits_for->end(),
-      [&](const std::string& name) {
-        const auto vm = vms_.find(name);
-        if (name == options_.self.name || vm == vms_.end()) {
-          return true;  // A registration that ended has ended its rights.
-        }
-        const auto heard = peers_.find(name);
-        if (heard == peers_.end() ||
-            heard->second.digest.incarnation < vm->second.incarnation) {
-          return false;
-        }
-        const auto& states = heard->second.digest.primaries;
-        return std::any_of(states.begin(), states.end(),
-                           [&](const wire::primary_state& state) {
-                             return state.group == group &&
-                                    state.stopped_epoch >= move.epoch;
-                           });
+  if (!move.waits_for) {
+    return now_ - move.recorded >= options_.registration_lifetime;
+  }
+  const auto stopped = [&](const std::string& name) {
+    return name == self_.name || HasStopped(name, group, move.epoch) ||
+           RightEnded(name, move);
+  };
+  return std::all_of(move.waits_for->begin(), move.waits_for->end(), stopped) &&
+         std::all_of(
+             unregistered_.begin(), unregistered_.end(), [&](const auto& each) {
+               return now_ - each.second > options_.registration_lifetime ||
+                      stopped(each.first);
+             });
+}
+
+bool keeper::implementation::HasStopped(const std::string& name,
+                                        const std::string& group,
+                                        int64_t epoch) const {
+  const auto vm = vms_.find(name);
+  const int64_t incarnation = vm == vms_.end() ? 0 : vm->second.incarnation;
+  if (vm != vms_.end()) {
+    const auto told = vm->second.stopped.find(group);
+    if (told != vm->second.stopped.end() && told->second >= epoch) {
+      return true;
+    }
+  }
+  const auto heard = peers_.find(name);
+  if (heard == peers_.end() || heard->second.digest.incarnation < incarnation) {
+    return false;
+  }
+  if (heard->second.digest.leaving) {
+    return true;
+  }
+  const auto& states = heard->second.digest.primaries;
+  return std::any_of(
+      states.begin(), states.end(), [&](const wire::primary_state& state) {
+        return state.group == group && state.stopped_epoch >= epoch;
       });
 }
 
+// A VM that has received digests of this one extends no right without hearing
+// it. One that has not may not know of this VM, until it must have read its
+// registration.
+bool keeper::implementation::RightEnded(const std::string& name,
+                                        const handover& move) const {
+  time_point end = move.recorded + options_.right_lifetime;
+  const auto heard = peers_.find(name);
+  if (heard == peers_.end() || !heard->second.made_after) {
+    end = std::max(end, registered_at_ + options_.registration_lifetime);
+  }
+  return now_ >= end;
+}
+
 void keeper::implementation::CheckMembers(const std::string& group,
                                           handover& move) {
   if (now_ < move.next_call) {
@@ -363,7 +394,7 @@
   Note(log_level::kWarning, "group {}: promotes {}, token {}", group,
        move.chosen, duty_->token);
   actions_.push_back(
-      promote_member{group, move.chosen, options_.self.name, duty_->token});
+      promote_member{group, move.chosen, self_.name, duty_->token});
 }
 
 void keeper::implementation::ContinueConfirmation(handover& move) {
--- a/src/leadership/keeper_implementation.h
+++ b/src/leadership/keeper_implementation.h
@@ -21,6 +21,7 @@
  public:
   implementation(options options, broker_view view)
       : options_(std::move(options)),
+        self_(options_.self),
         view_(std::move(view)),
         random_(options_.seed) {}
 
@@ -28,6 +29,8 @@
   time_point NextDeadline() const { return next_tick_; }
   std::map<std::string, group_state, std::less<>> Groups() const;
   std::optional<time_point> confirmed_at() const { return confirmed_at_; }
+  int64_t incarnation() const { return self_.incarnation; }
+  bool leaving() const { return leaving_; }
   bool left() const { return leaving_ && registration_.lease == 0; }
 
  private:
@@ -45,6 +48,7 @@
     kRecordMove,
     kListVms,
     kPublish,
+    kTellStopped,
   };
 
   struct pending_call {
@@ -64,6 +68,8 @@
   struct peer {
     wire::fleet_digest digest;
     time_point heard;
+    /// The digest was made after this; empty: this VM's were never received.
+    std::optional<time_point> made_after;
   };
 
   // A right that is being given up.
@@ -122,6 +128,7 @@
                 std::string group = {});
   std::string Writer() const;
   void SeeItem(const store::keyspace::item& item);
+  void SeeVm(const std::string& name, const vm_registration& record);
   void SeeRemoved(std::string_view key);
 
   // --- Registration, duty and confirmation (keeper_leases.cc) ---
@@ -140,6 +147,9 @@
   void StopOld(const std::string& group, int64_t epoch);
   void ContinueStopping();
   void ConfirmGroup(const std::string& group, int64_t epoch, time_point sent);
+  std::optional<time_point> ExtensionOf(const std::string& group,
+                                        int64_t epoch) const;
+  void TellStore();
   interactive::primary_right RightOf(const std::string& group) const;
   void PublishRights();
 
@@ -160,7 +170,11 @@
   void ContinueConfirmation(handover& move);
   void ContinuePublication(const std::string& group, handover& move);
   void OnHandoverAnswer(const pending_call& call, const store_answered& event);
-  bool AllStopped(const std::string& group, handover& move);
+  bool AllStopped(const std::string& group, const handover& move) const;
+  bool HasStopped(const std::string& name,
+                  const std::string& group,
+                  int64_t epoch) const;
+  bool RightEnded(const std::string& name, const handover& move) const;
   void CheckMembers(const std::string& group, handover& move);
   void Fire(const std::string& group,
             handover& move,
@@ -180,6 +194,7 @@
   }
 
   const options options_;
+  vm_registration self_;
   const broker_view view_;
   std::mt19937_64 random_;
   time_point now_;
@@ -202,6 +217,9 @@
   bool leaving_ = false;
 
   std::map<std::string, vm_registration, std::less<>> vms_;
+  // VMs whose registration ended, by when that was seen: it may have ended
+  // before their rights did.
+  std::map<std::string, time_point, std::less<>> unregistered_;
   bool fleet_dirty_ = true;
   std::map<std::string, peer, std::less<>> peers_;
 
--- a/src/leadership/keeper_leases.cc
+++ b/src/leadership/keeper_leases.cc
@@ -32,8 +32,8 @@
              options_.registration_lifetime)});
   } else if (!registered_) {
     store::keyspace::transaction_call write;
-    write.writes.push_back({.key = VmKey(options_.self.name),
-                            .value = EncodeVm(options_.self),
+    write.writes.push_back({.key = VmKey(self_.name),
+                            .value = EncodeVm(self_),
                             .lease = registration_.lease});
     Call(call_kind::kWriteRegistration, std::move(write));
   } else {
@@ -73,8 +73,7 @@
     registered_ = true;
     registered_at_ = now_;
     next_confirm_ = now_;
-    Note(log_level::kInfo, "registered with incarnation {}",
-         options_.self.incarnation);
+    Note(log_level::kInfo, "registered with incarnation {}", self_.incarnation);
     KeepConfirmed();
   } else {
     registration_.renewed = std::max(registration_.renewed, event.sent);
@@ -106,8 +105,8 @@
     Call(call_kind::kRenewDuty, store::keyspace::renew_call{duty_lease_.lease});
     return;
   }
-  const bool own_former = duty_ && duty_->holder == options_.self.name &&
-                          duty_->incarnation != options_.self.incarnation;
+  const bool own_former = duty_ && duty_->holder == self_.name &&
+                          duty_->incarnation != self_.incarnation;
   if (draining_ || !registered_ || (duty_ && !own_former) ||
       now_ < next_claim_) {
     return;
@@ -123,7 +122,7 @@
   claim.conditions.push_back({DutyKey(), duty_ ? duty_->token : 0});
   claim.writes.push_back(
       {.key = DutyKey(),
-       .value = EncodeDuty({options_.self.name, options_.self.incarnation, 0}),
+       .value = EncodeDuty({self_.name, self_.incarnation, 0}),
        .lease = duty_lease_.lease});
   Call(call_kind::kClaimDuty, std::move(claim));
 }
@@ -145,8 +144,7 @@
     if (kind == call_kind::kRenewDuty) {
       duty_lease_.renewed = std::max(duty_lease_.renewed, event.sent);
     } else {
-      SeeDuty(duty_record{options_.self.name, options_.self.incarnation,
-                          reply.revision});
+      SeeDuty(duty_record{self_.name, self_.incarnation, reply.revision});
     }
     duty_lease_.next_call = now_ + options_.duty_interval;
     return;
@@ -174,8 +172,8 @@
   }
   const bool was_free = !duty_;
   duty_ = record;
-  const bool own = duty_ && duty_->holder == options_.self.name &&
-                   duty_->incarnation == options_.self.incarnation;
+  const bool own = duty_ && duty_->holder == self_.name &&
+                   duty_->incarnation == self_.incarnation;
   if (own && !holding_ && duty_lease_.lease != 0) {
     holding_ = true;
     Note(log_level::kInfo, "holds the duty of changing primaries, token {}",
--- a/src/leadership/keeper_rights.cc
+++ b/src/leadership/keeper_rights.cc
@@ -60,6 +60,7 @@
   if (!ready.empty()) {
     PublishRights();
     actions_.push_back(send_digests{});
+    TellStore();
   }
 }
 
@@ -93,14 +94,76 @@
                                    time_point::min(), false};
   const auto confirmed = confirmed_.find(group);
   if (confirmed != confirmed_.end() && !leaving_) {
-    right.until =
-        std::min(confirmed->second + options_.right_lifetime,
-                 registration_.renewed + options_.registration_lifetime) -
-        options_.right_margin;
+    time_point until = confirmed->second + options_.right_lifetime;
+    if (const auto extension = ExtensionOf(group, record.epoch)) {
+      until = std::max(until, *extension);
+    }
+    right.until = std::min(until, registration_.renewed +
+                                      options_.registration_lifetime) -
+                  options_.right_margin;
   }
   return right;
 }
 
+// How long the right lasts by what the other VMs say: each of them knew of no
+// change, and was not about to make one, when it made its last digest.
+std::optional<time_point> keeper::implementation::ExtensionOf(
+    const std::string& group,
+    int64_t epoch) const {
+  std::optional<time_point> oldest;
+  const auto covers = [&](const peer& other) {
+    const auto& states = other.digest.primaries;
+    const bool unchanged = std::any_of(
+        states.begin(), states.end(), [&](const wire::primary_state& state) {
+          return state.group == group && state.epoch == epoch &&
+                 !state.moving && !state.changing;
+        });
+    if (!unchanged || !other.made_after) {
+      return false;
+    }
+    oldest = std::min(oldest.value_or(*other.made_after), *other.made_after);
+    return true;
+  };
+  for (const auto& [name, vm] : vms_) {
+    const auto other = peers_.find(name);
+    if (name != self_.name &&
+        (other == peers_.end() || !covers(other->second))) {
+      return std::nullopt;
+    }
+  }
+  // VMs that were heard but whose registration is not known here.
+  for (const auto& [name, other] : peers_) {
+    const bool counts = !vms_.contains(name) && !other.digest.leaving &&
+                        now_ - other.heard < options_.registration_lifetime;
+    if (counts && !covers(other)) {
+      return std::nullopt;
+    }
+  }
+  if (!oldest) {
+    return std::nullopt;
+  }
+  return *oldest + options_.extension_lifetime;
+}
+
+// The VM with the duty may not hear this one, but the store may.
+void keeper::implementation::TellStore() {
+  const auto holder = duty_ ? peers_.find(duty_->holder) : peers_.end();
+  const bool heard = holder != peers_.end() &&
+                     now_ - holder->second.heard < options_.report_lifetime;
+  if (!registered_ || !duty_ || duty_->holder == self_.name || heard) {
+    return;
+  }
+  vm_registration told = self_;
+  for (const auto& [group, epoch] : stopped_) {
+    told.stopped[group] = epoch;
+  }
+  store::keyspace::transaction_call write;
+  write.writes.push_back({.key = VmKey(self_.name),
+                          .value = EncodeVm(told),
+                          .lease = registration_.lease});
+  Call(call_kind::kTellStopped, std::move(write));
+}
+
 void keeper::implementation::PublishRights() {
   std::map<std::string, interactive::primary_right, std::less<>> rights;
   for (const auto& [group, record] : records_) {
--- a/src/leadership/records.cc
+++ b/src/leadership/records.cc
@@ -83,7 +83,8 @@
               {"peer_address", record.peer_address},
               {"availability_zone", record.availability_zone},
               {"region", record.region},
-              {"incarnation", record.incarnation}}
+              {"incarnation", record.incarnation},
+              {"stopped", record.stopped}}
       .dump();
 }
 
@@ -115,6 +116,15 @@
       !ReadNumber(value, "incarnation", record.incarnation)) {
     return Invalid(item);
   }
+  const auto stopped = value.find("stopped");
+  if (stopped != value.end() && stopped->is_object()) {
+    for (const auto& [group, epoch] : stopped->items()) {
+      if (!epoch.is_number_integer()) {
+        return Invalid(item);
+      }
+      record.stopped[group] = epoch.get<int64_t>();
+    }
+  }
   return record;
 }
 
--- a/src/runtime/line/line_daemon.cc
+++ b/src/runtime/line/line_daemon.cc
@@ -33,6 +33,10 @@
 namespace {
 
 constexpr duration kDigestInterval = milliseconds(500);
+// Links between VMs come up, and VMs learn of each other, within these first
+// digests of a process.
+constexpr duration kQuickDigestInterval = milliseconds(100);
+constexpr int kQuickDigests = 8;
 constexpr duration kMaintainInterval = seconds(1);
 constexpr duration kLogInterval = milliseconds(100);
 constexpr duration kLinkSilence = seconds(3);
@@ -514,7 +518,10 @@
 
   void SendDigests() {
     const time_point now = BootNow();
-    next_digest_ = now + kDigestInterval;
+    // The first digest to a VM only opens the link.
+    next_digest_ =
+        now + (quick_digests_ > 0 ? kQuickDigestInterval : kDigestInterval);
+    quick_digests_ = std::max(0, quick_digests_ - 1);
     const wire::fleet_digest common = BuildDigest(now);
     for (const fleet_exchange::target& to : exchange_.Targets()) {
       wire::fleet_digest digest = common;
@@ -530,8 +537,9 @@
 
   wire::fleet_digest BuildDigest(time_point now) {
     wire::fleet_digest digest;
-    digest.incarnation = keeper_options_.self.incarnation;
+    digest.incarnation = keeper_.incarnation();
     digest.peer_address = settings_.peer_address;
+    digest.leaving = keeper_.leaving();
     digest.configuration_version = catalogue_ ? catalogue_->version : 0;
     if (const auto confirmed = keeper_.confirmed_at()) {
       digest.confirmed_age_ms = AgeMs(now, *confirmed);
@@ -544,6 +552,7 @@
       primary.term = state.record.term;
       primary.epoch = state.record.epoch;
       primary.moving = state.record.moving;
+      primary.changing = state.changing;
       primary.stopped_epoch = state.stopped_epoch;
       const auto position = positions.find(group);
       if (position != positions.end()) {
@@ -705,6 +714,7 @@
   interactive::catalogue_ptr catalogue_;
   std::string configuration_;  ///< As it lies in the store.
   time_point next_digest_;
+  int quick_digests_ = kQuickDigests;
   time_point next_log_;
   time_point next_maintain_;
   time_point next_copy_;
