--- /dev/null
+++ b/src/interactive/state_test.cc
@@ -0,0 +1,70 @@
+// Tests of positions and of the state of links.
+#include <gtest/gtest.h>
+
+#include "src/interactive/link.h"
+#include "src/interactive/position_history.h"
+
+namespace tarragondale::interactive {
+namespace {
+
+using step = member_statement::step;
+
+// Guards against a position that covers less than the bound asks for.
+TEST(PositionHistoryTest, LeastPositionThatCoversTheBound) {
+  position_history history(seconds(12));
+  history.Add({{1, 10}, TimeFromMs(1'000)});
+  history.Add({{1, 20}, TimeFromMs(2'000)});
+  history.Add({{1, 30}, TimeFromMs(3'000)});
+  EXPECT_EQ(history.Covering(TimeFromMs(1'500)), (log_position{1, 20}));
+  EXPECT_EQ(history.Covering(TimeFromMs(2'000)), (log_position{1, 20}));
+  EXPECT_EQ(history.Covering(TimeFromMs(3'001)), std::nullopt);
+}
+
+TEST(PositionHistoryTest, OlderObservationsAndTermsAreIgnored) {
+  position_history history(seconds(12));
+  history.Add({{2, 5}, TimeFromMs(2'000)});
+  history.Add({{2, 4}, TimeFromMs(1'000)});
+  history.Add({{1, 90}, TimeFromMs(3'000)});
+  EXPECT_EQ(history.newest()->position, (log_position{2, 5}));
+}
+
+// Guards against memory that grows with time.
+TEST(PositionHistoryTest, OldObservationsAreForgotten) {
+  position_history history(milliseconds(100));
+  for (int i = 0; i < 1'000; ++i) {
+    history.Add({{1, i}, TimeFromMs(i)});
+  }
+  EXPECT_EQ(history.Covering(TimeFromMs(0)), (log_position{1, 899}));
+}
+
+TEST(LinkTest, OnlyDifferencesAreSent) {
+  link on;
+  session owner;
+  owner.values = {{"a", "1"}, {"b", "2"}};
+  EXPECT_EQ(Synchronise(on, owner, nullptr, 10).size(), 2U);
+  EXPECT_TRUE(Synchronise(on, owner, nullptr, 10).empty());
+  owner.values["b"] = "3";
+  const auto changed = Synchronise(on, owner, nullptr, 10);
+  ASSERT_EQ(changed.size(), 1U);
+  EXPECT_EQ(changed[0].argument, "3");
+}
+
+// Guards against prepared statements that pile up on a connection.
+TEST(LinkTest, FullLinkIsReset) {
+  link on;
+  const session owner;
+  for (int i = 0; i < 5; ++i) {
+    const prepared_statement needed{false, std::to_string(i)};
+    Synchronise(on, owner, &needed, 3);
+  }
+  EXPECT_LE(on.prepared.size(), 3U);
+}
+
+TEST(LinkTest, CommonNamesDifferByShapeAndAccess) {
+  EXPECT_NE(CommonName({false, "a"}), CommonName({true, "a"}));
+  EXPECT_NE(CommonName({false, "a"}), CommonName({false, "b"}));
+  EXPECT_EQ(CommonName({false, "a"}), CommonName({false, "a"}));
+}
+
+}  // namespace
+}  // namespace tarragondale::interactive
