Open a link to the cheapest member; simulate the rights to primaries under faults

A read took a dearer member's free link and never opened one to the cheaper replica (found by two tests).

--- a/include/tarragondale/store/keyspace.h
+++ b/include/tarragondale/store/keyspace.h
@@ -84,10 +84,10 @@
 /// @brief The answer to a call; which members are set depends on the call.
 struct reply {
   call_status status = call_status::kUnknown;
-  std::string reason;           ///< For people, if not done.
-  std::vector<item> items;      ///< Range; or the conditions' present state.
-  std::vector<change> changes;  ///< Watch.
-  bool more = false;            ///< Range: another page follows.
+  std::string reason = {};       ///< For people, if not done.
+  std::vector<item> items = {};  ///< Range; or the conditions' present state.
+  std::vector<change> changes = {};  ///< Watch.
+  bool more = false;                 ///< Range: another page follows.
   int64_t revision = 0;  ///< Of the service; after a write, of the write.
   int64_t lease = 0;
   milliseconds lifetime{0};  ///< Of the lease.
--- a/src/interactive/broker_dispatch.cc
+++ b/src/interactive/broker_dispatch.cc
@@ -60,14 +60,15 @@
     if (UseCandidate(of, each)) {
       return true;
     }
-  }
-  // None has a free link: ask for one at the cheapest member that takes one.
-  if (waits.opening == 0) {
-    for (const candidate& each : candidates) {
+    // A new link to this member is expected to answer sooner than a free one
+    // elsewhere.
+    if (waits.opening == 0) {
       OpenFor(of, *each.to);
-      if (waits.opening != 0) {
-        break;
-      }
+    }
+    const link* const opening =
+        waits.opening == 0 ? nullptr : pool_.FindLink(waits.opening);
+    if (opening != nullptr && opening->member == each.to->record.id) {
+      return false;
     }
   }
   return false;
@@ -166,11 +167,25 @@
         return each.idle() && each.organisation == of.organisation;
       });
   if (!has_link) {
-    cost += 2 * pool_.Distance(to) + kHandshakeCost;
+    cost += 2 * pool_.Distance(to) + kHandshakeCost + OpeningFor(to);
   }
   return cost;
 }
 
+// How long the oldest connection that is being opened has taken so far: a
+// member that does not answer becomes dearer than any other.
+duration session_broker::implementation::OpeningFor(const member& to) const {
+  duration longest{0};
+  for (const link_id id : to.links) {
+    const link& each = pool_.links().at(id);
+    if (!each.open) {
+      longest = std::max(
+          longest, std::chrono::duration_cast<duration>(now_ - each.opened_at));
+    }
+  }
+  return longest;
+}
+
 bool session_broker::implementation::UseCandidate(session& of,
                                                   const candidate& chosen) {
   link* const on = pool_.FindIdle(*chosen.to, of.organisation, of);
--- a/src/interactive/broker_implementation.h
+++ b/src/interactive/broker_implementation.h
@@ -95,6 +95,7 @@
   void AddReplicas(session& of, std::vector<candidate>& to);
   const primary_right* ValidRight(std::string_view group) const;
   duration CostOf(const session& of, const member& to) const;
+  duration OpeningFor(const member& to) const;
   bool UseCandidate(session& of, const candidate& chosen);
   void OpenFor(session& of, member& to);
   void SendOn(session& of, link& on, const candidate& chosen);
--- /dev/null
+++ b/src/leadership/keeper_simulation.h
@@ -0,0 +1,553 @@
+// Several keepers with a store, members and a network that fail, in virtual
+// time. Test support; deterministic for a seed.
+#ifndef TARRAGONDALE_SRC_LEADERSHIP_KEEPER_SIMULATION_H_
+#define TARRAGONDALE_SRC_LEADERSHIP_KEEPER_SIMULATION_H_
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "tarragondale/leadership.h"
+
+namespace tarragondale::leadership {
+
+class keeper_simulation {
+ public:
+  static constexpr duration kStep = milliseconds(5);
+  static constexpr duration kPromotionTime = milliseconds(300);
+
+  struct vm {
+    std::string name;
+    std::unique_ptr<keeper> mind;
+    bool alive = true;
+    time_point frozen_until;
+    bool store_cut = false;   ///< It does not reach the store.
+    bool peers_cut = false;   ///< It reaches no other VM.
+    bool deaf_watch = false;  ///< The watch delivers nothing.
+    int64_t incarnation = 0;
+    std::map<std::string, interactive::primary_right, std::less<>> rights;
+    size_t open_work = 0;  ///< Statements on the primary.
+    time_point next_digest;
+    struct heard {
+      uint64_t last_received = 0;
+      uint64_t last_sent = 0;
+      std::map<uint64_t, time_point> sent;
+    };
+    std::map<std::string, heard> peers;
+  };
+
+  struct member {
+    std::string id;
+    bool alive = true;
+    bool listed = true;
+    bool draining = false;
+    interactive::member_status status;
+  };
+
+  explicit keeper_simulation(uint64_t seed, int vms = 5) : random_(seed) {
+    for (const char* id : {"a", "b", "c"}) {
+      members_[id] = {id, true, true, false, {id[0] == 'a', 1, {1, 100}}};
+    }
+    primary_ = "a";
+    for (int i = 0; i < vms; ++i) {
+      vms_.push_back(std::make_unique<vm>());
+      vms_.back()->name = "vm-" + std::to_string(i);
+      Start(*vms_.back());
+    }
+  }
+
+  std::vector<std::unique_ptr<vm>>& vms() { return vms_; }
+  std::map<std::string, member>& members() { return members_; }
+  const std::string& primary() const { return primary_; }
+  time_point now() const { return now_; }
+  bool store_up = true;
+  double lost_answers = 0;     ///< Part of the store's answers.
+  double late_writes = 0;      ///< Part of lost calls that run seconds later.
+  double lost_promotions = 0;  ///< Part of the promotions' answers.
+  int promotions() const { return promotions_; }
+  const std::vector<std::string>& violations() const { return violations_; }
+
+  void Start(vm& of) {
+    options chosen;
+    // A new process's clock may be behind that of the former one.
+    chosen.self = {of.name, "127.0.0.1:1", "z", "r", ++last_incarnation_};
+    chosen.seed = random_();
+    of.alive = true;
+    of.rights.clear();
+    of.peers.clear();
+    of.open_work = 0;
+    vm* const self = &of;
+    of.mind = std::make_unique<keeper>(
+        chosen,
+        broker_view{
+            .primary_work = [self](std::string_view,
+                                   int64_t) { return self->open_work; },
+            .health = [this](std::string_view id) { return HealthOf(id); }});
+    of.incarnation = chosen.self.incarnation;
+    PublishMembers(of);
+    auto catalogue = std::make_shared<interactive::catalogue>();
+    catalogue->groups["g"] = {"g", 16, 0};
+    Step(of, catalogue_changed{catalogue});
+    Load(of);
+  }
+
+  /// @brief The process dies; `Start` begins a new one.
+  void Kill(vm& of) {
+    of.alive = false;
+    of.rights.clear();
+  }
+
+  void KillMember(const std::string& id) {
+    members_.at(id).alive = false;
+    failing_since_[id] = now_;
+  }
+  void ReviveMember(const std::string& id) {
+    members_.at(id).alive = true;
+    failing_since_.erase(id);
+  }
+  void PublishMembers() {
+    for (const auto& each : vms_) {
+      PublishMembers(*each);
+    }
+  }
+
+  void Run(duration span) {
+    for (const time_point end = now_ + span; now_ < end;) {
+      now_ += kStep;
+      RunDue();
+      ExpireLeases();
+      for (const auto& each : vms_) {
+        if (Runs(*each)) {
+          if (now_ >= each->mind->NextDeadline()) {
+            Step(*each, tick{});
+          }
+          if (now_ >= each->next_digest) {
+            SendDigests(*each);
+          }
+        }
+      }
+      Check();
+    }
+  }
+
+  bool HoldsRight(const vm& of) const {
+    const auto right = of.rights.find("g");
+    return of.alive && right != of.rights.end() &&
+           !right->second.member.empty() && now_ < right->second.until;
+  }
+
+  bool AllServe() const {
+    return std::all_of(vms_.begin(), vms_.end(), [&](const auto& each) {
+      return HoldsRight(*each) && each->rights.at("g").member == primary_ &&
+             !each->rights.at("g").closing;
+    });
+  }
+
+  bool Chance(double part) {
+    return std::uniform_real_distribution<double>(0, 1)(random_) < part;
+  }
+  size_t Pick(size_t count) {
+    return std::uniform_int_distribution<size_t>(0, count - 1)(random_);
+  }
+
+ private:
+  using item = store::keyspace::item;
+  using call_status = store::keyspace::call_status;
+
+  bool Runs(const vm& of) const { return of.alive && now_ >= of.frozen_until; }
+
+  void Later(duration after, std::function<void()> what) {
+    due_.emplace(now_ + after, std::move(what));
+  }
+
+  void RunDue() {
+    while (!due_.empty() && due_.begin()->first <= now_) {
+      const auto what = std::move(due_.begin()->second);
+      due_.erase(due_.begin());
+      what();
+    }
+  }
+
+  // Delivers to the same process only, and to a frozen one when it wakes.
+  void Deliver(vm& to, int64_t incarnation, event what) {
+    if (!to.alive || to.incarnation != incarnation) {
+      return;
+    }
+    if (now_ < to.frozen_until) {
+      Later(std::chrono::duration_cast<duration>(to.frozen_until - now_),
+            [this, &to, incarnation, what = std::move(what)] {
+              Deliver(to, incarnation, what);
+            });
+      return;
+    }
+    Step(to, what);
+  }
+
+  void Step(vm& of, const event& what) {
+    for (action& each : of.mind->Step(now_, what)) {
+      std::visit([&](auto& action) { Do(of, action); }, each);
+    }
+  }
+
+  // --- Actions ---
+
+  void Do(vm& of, const call_store& action) {
+    const time_point sent = now_;
+    const int64_t incarnation = of.incarnation;
+    const bool reaches = store_up && !of.store_cut;
+    const auto answer = [this, &of, incarnation, sent,
+                         tag = action.tag](store::keyspace::reply reply) {
+      Deliver(of, incarnation, store_answered{tag, sent, std::move(reply)});
+    };
+    if (!reaches) {
+      return Later(milliseconds(200),
+                   [answer] { answer({.status = call_status::kRefused}); });
+    }
+    const bool lost = Chance(lost_answers);
+    const duration delay = lost && Chance(late_writes)
+                               ? duration(milliseconds(2'500))
+                               : duration(milliseconds(5));
+    Later(delay, [this, answer, lost, call = action.call] {
+      store::keyspace::reply reply = Execute(call);
+      if (!lost) {
+        Later(milliseconds(5), [answer, reply] { answer(reply); });
+      }
+    });
+    if (lost) {
+      Later(seconds(1),
+            [answer] { answer({.status = call_status::kUnknown}); });
+    }
+  }
+  void Do(vm& of, const set_rights& action) { of.rights = action.by_group; }
+  void Do(vm& of, const stop_primary_work& action) {
+    of.open_work = 0;
+    of.rights.erase(action.group);
+  }
+  void Do(vm& of, const send_digests& /*action*/) { SendDigests(of); }
+  void Do(vm& of, const check_member& action) {
+    const int64_t incarnation = of.incarnation;
+    Later(milliseconds(10), [this, &of, incarnation, id = action.member] {
+      const auto found = members_.find(id);
+      member_checked checked{id, std::nullopt};
+      if (found != members_.end() && found->second.alive) {
+        checked.status = found->second.status;
+      }
+      Deliver(of, incarnation, checked);
+    });
+  }
+  void Do(vm& /*of*/, const demote_member& action) {
+    member& told = members_.at(action.member);
+    if (told.alive && told.status.term < action.term) {
+      told.status.primary = false;
+      told.status.term = action.term;
+    }
+  }
+  void Do(vm& of, const promote_member& action) {
+    if (action.token < last_token_) {
+      violations_.push_back("a lower token was sent");
+    }
+    last_token_ = std::max(last_token_, action.token);
+    const int64_t incarnation = of.incarnation;
+    promotion_answered answered{action.group, action.member,
+                                promotion_result::kAccepted, ""};
+    member& chosen = members_.at(action.member);
+    if (!chosen.alive) {
+      answered.result = promotion_result::kRefused;
+    } else if (primary_ != action.member) {
+      Later(kPromotionTime, [this, id = action.member] { Promote(id); });
+    }
+    if (Chance(lost_promotions)) {
+      answered.result = promotion_result::kUnknown;
+    }
+    Later(milliseconds(10), [this, &of, incarnation, answered] {
+      Deliver(of, incarnation, answered);
+    });
+  }
+  void Do(vm& /*of*/, const fleet_known& /*action*/) {}
+  void Do(vm& of, const note& action) {
+    if (trace) {
+      printf("%8.3f %s %s\n",
+             static_cast<double>(ToMs(now_.time_since_epoch())) / 1e3,
+             of.name.c_str(), action.text.c_str());
+    }
+  }
+
+  void Promote(const std::string& id) {
+    if (primary_ == id || !members_.at(id).alive) {
+      return;
+    }
+    ++promotions_;
+    primary_ = id;
+    interactive::member_status& status = members_.at(id).status;
+    status.primary = true;
+    status.term = ++term_;
+    status.received.term = term_;
+  }
+
+  // --- Store ---
+
+  store::keyspace::reply Execute(const store::keyspace::call& call) {
+    return std::visit([this](const auto& each) { return Run(each); }, call);
+  }
+
+  store::keyspace::reply Run(const store::keyspace::range_call& call) {
+    store::keyspace::reply reply{.status = call_status::kDone};
+    for (const auto& [key, value] : items_) {
+      if (key.starts_with(call.prefix)) {
+        reply.items.push_back(value);
+      }
+    }
+    reply.revision = revision_;
+    return reply;
+  }
+  store::keyspace::reply Run(const store::keyspace::watch_call& /*call*/) {
+    return {.status = call_status::kRefused};
+  }
+  store::keyspace::reply Run(const store::keyspace::transaction_call& call) {
+    store::keyspace::reply reply{.status = call_status::kDone};
+    for (const auto& each : call.conditions) {
+      const auto found = items_.find(each.key);
+      const int64_t revision =
+          found == items_.end() ? 0 : found->second.revision;
+      if (revision != each.revision) {
+        reply.status = call_status::kConflict;
+      }
+      if (found != items_.end()) {
+        reply.items.push_back(found->second);
+      }
+    }
+    for (const auto& each : call.writes) {
+      if (each.lease != 0 && !leases_.contains(each.lease)) {
+        return {.status = call_status::kNotFound};
+      }
+    }
+    if (reply.status != call_status::kDone) {
+      return reply;
+    }
+    reply.items.clear();
+    reply.revision = ++revision_;
+    for (item each : call.writes) {
+      each.revision = revision_;
+      items_[each.key] = each;
+      Announce(each, false);
+    }
+    return reply;
+  }
+  store::keyspace::reply Run(const store::keyspace::grant_call& call) {
+    leases_[++last_lease_] = {call.lifetime, now_};
+    return {.status = call_status::kDone,
+            .lease = last_lease_,
+            .lifetime = call.lifetime};
+  }
+  store::keyspace::reply Run(const store::keyspace::renew_call& call) {
+    const auto found = leases_.find(call.lease);
+    if (found == leases_.end()) {
+      return {.status = call_status::kNotFound};
+    }
+    found->second.second = now_;
+    return {.status = call_status::kDone};
+  }
+  store::keyspace::reply Run(const store::keyspace::revoke_call& call) {
+    EndLease(call.lease);
+    return {.status = call_status::kDone};
+  }
+
+  void ExpireLeases() {
+    std::vector<int64_t> ended;
+    for (const auto& [id, lease] : leases_) {
+      if (now_ - lease.second > lease.first) {
+        ended.push_back(id);
+      }
+    }
+    for (const int64_t id : ended) {
+      EndLease(id);
+    }
+  }
+
+  void EndLease(int64_t lease) {
+    leases_.erase(lease);
+    std::vector<item> removed;
+    for (const auto& [key, value] : items_) {
+      if (value.lease == lease) {
+        removed.push_back(value);
+      }
+    }
+    for (const item& each : removed) {
+      ++revision_;
+      items_.erase(each.key);
+      Announce(each, true);
+    }
+  }
+
+  void Announce(const item& changed, bool removed) {
+    for (const auto& each : vms_) {
+      vm& to = *each;
+      if (to.store_cut || to.deaf_watch || !store_up) {
+        missed_.insert(to.name);
+        continue;
+      }
+      Later(milliseconds(5),
+            [this, &to, incarnation = to.incarnation, changed, removed] {
+              Deliver(to, incarnation, item_seen{changed, removed});
+            });
+    }
+  }
+
+  // --- Network between VMs ---
+
+  void SendDigests(vm& from) {
+    from.next_digest = now_ + milliseconds(500);
+    wire::fleet_digest digest;
+    digest.incarnation = from.incarnation;
+    digest.leaving = from.mind->leaving();
+    if (const auto confirmed = from.mind->confirmed_at()) {
+      digest.confirmed_age_ms = ToMs(now_ - *confirmed) + 1;
+    }
+    for (const auto& [group, state] : from.mind->Groups()) {
+      digest.primaries.push_back({group,
+                                  state.record.member,
+                                  state.record.term,
+                                  state.record.epoch,
+                                  state.record.moving,
+                                  state.changing,
+                                  state.stopped_epoch,
+                                  {},
+                                  -1,
+                                  -1,
+                                  FailingMs(state.record.member)});
+    }
+    for (const auto& each : vms_) {
+      vm& to = *each;
+      if (to.name == from.name) {
+        continue;
+      }
+      vm::heard& known = from.peers[to.name];
+      digest.sequence = ++known.last_sent;
+      digest.echo = known.last_received;
+      known.sent[digest.sequence] = now_;
+      if (from.peers_cut || to.peers_cut || Chance(0.02)) {
+        continue;
+      }
+      const duration delay = milliseconds(5 + static_cast<int64_t>(Pick(12)));
+      Later(delay, [this, &to, incarnation = to.incarnation, name = from.name,
+                    digest] { Receive(to, incarnation, name, digest); });
+    }
+    // A VM that missed changes reads all again once it can.
+    if (missed_.contains(from.name) && store_up && !from.store_cut &&
+        !from.deaf_watch) {
+      missed_.erase(from.name);
+      Load(from);
+    }
+  }
+
+  void Receive(vm& to,
+               int64_t incarnation,
+               const std::string& from,
+               const wire::fleet_digest& digest) {
+    if (!to.alive || to.incarnation != incarnation) {
+      return;
+    }
+    if (now_ < to.frozen_until) {
+      Later(std::chrono::duration_cast<duration>(to.frozen_until - now_),
+            [this, &to, incarnation, from, digest] {
+              Receive(to, incarnation, from, digest);
+            });
+      return;
+    }
+    vm::heard& known = to.peers[from];
+    known.last_received = digest.sequence;
+    digest_arrived arrived{from, digest, std::nullopt};
+    const auto echoed = known.sent.find(digest.echo);
+    if (digest.echo != 0 && echoed != known.sent.end()) {
+      arrived.echo_sent = echoed->second;
+    }
+    Step(to, arrived);
+  }
+
+  void Load(vm& of) {
+    if (!store_up || of.store_cut) {
+      missed_.insert(of.name);
+      return;
+    }
+    std::vector<item> all;
+    for (const auto& [key, value] : items_) {
+      all.push_back(value);
+    }
+    Step(of, items_loaded{std::move(all)});
+  }
+
+  // --- Members ---
+
+  void PublishMembers(vm& to) {
+    auto directory = std::make_shared<interactive::member_directory>();
+    for (const auto& [id, each] : members_) {
+      if (each.listed) {
+        (*directory)[id] = {id, "g",           "127.0.0.1:1",       "z",
+                            2,  each.draining, each.status.primary, 1};
+      }
+    }
+    Step(to, members_changed{directory});
+  }
+
+  interactive::member_health HealthOf(std::string_view id) const {
+    interactive::member_health health;
+    const auto failing = failing_since_.find(std::string(id));
+    if (failing == failing_since_.end()) {
+      health.last_answer = now_;
+    } else {
+      health.failing_since = failing->second;
+      health.failures = 3;
+    }
+    return health;
+  }
+
+  int64_t FailingMs(const std::string& id) const {
+    const auto failing = failing_since_.find(id);
+    return failing == failing_since_.end() ? -1 : ToMs(now_ - failing->second);
+  }
+
+  // --- Invariant ---
+
+  // Once another member leads, no VM has a right to use the former primary.
+  void Check() {
+    for (const auto& each : vms_) {
+      if (HoldsRight(*each) && each->rights.at("g").member != primary_) {
+        violations_.push_back(
+            each->name + " may use " + each->rights.at("g").member + " while " +
+            primary_ + " leads, at " +
+            std::to_string(ToMs(now_.time_since_epoch())) + " ms");
+      }
+    }
+  }
+
+ public:
+  bool trace = false;
+
+ private:
+  std::mt19937_64 random_;
+  time_point now_ = TimeFromMs(1'000'000);
+  std::multimap<time_point, std::function<void()>> due_;
+  std::vector<std::unique_ptr<vm>> vms_;
+  std::map<std::string, member> members_;
+  std::map<std::string, time_point> failing_since_;
+  std::string primary_;
+  int64_t term_ = 1;
+  int64_t last_token_ = 0;
+  int promotions_ = 0;
+  int64_t last_incarnation_ = 0;
+  std::map<std::string, item> items_;
+  int64_t revision_ = 0;
+  std::map<int64_t, std::pair<milliseconds, time_point>> leases_;
+  int64_t last_lease_ = 0;
+  std::set<std::string> missed_;
+  std::vector<std::string> violations_;
+};
+
+}  // namespace tarragondale::leadership
+
+#endif  // TARRAGONDALE_SRC_LEADERSHIP_KEEPER_SIMULATION_H_
--- /dev/null
+++ b/src/leadership/keeper_test.cc
@@ -0,0 +1,240 @@
+// Tests of the rights to use primaries and of their change.
+#include <gtest/gtest.h>
+
+#include "src/leadership/keeper_simulation.h"
+
+namespace tarragondale::leadership {
+namespace {
+
+TEST(KeeperTest, AllVmsGetTheRightToThePrimaryThatLeads) {
+  keeper_simulation test(1);
+  test.Run(seconds(2));
+  EXPECT_TRUE(test.AllServe());
+  EXPECT_EQ(test.promotions(), 0);
+  EXPECT_TRUE(test.violations().empty());
+}
+
+TEST(KeeperTest, FailedPrimaryIsReplacedWithinTwoSeconds) {
+  keeper_simulation test(2);
+  test.Run(seconds(2));
+  test.KillMember("a");
+  test.Run(seconds(2));
+  EXPECT_EQ(test.promotions(), 1);
+  EXPECT_TRUE(test.AllServe());
+  EXPECT_TRUE(test.violations().empty());
+}
+
+TEST(KeeperTest, LeavingPrimaryIsReplacedByTheMemberThatHasAll) {
+  keeper_simulation test(3);
+  test.Run(seconds(2));
+  test.members().at("a").draining = true;
+  test.members().at("b").status.received = {1, 90};
+  test.PublishMembers();
+  test.Run(seconds(3));
+  EXPECT_EQ(test.primary(), "c");
+  EXPECT_TRUE(test.AllServe());
+}
+
+// Guards against a promotion while a VM that can't be told still has a right.
+TEST(KeeperTest, SilentVmDelaysThePromotionUntilItsRightEnds) {
+  keeper_simulation test(4);
+  test.Run(seconds(20));
+  test.vms()[4]->store_cut = true;
+  test.vms()[4]->peers_cut = true;
+  test.KillMember("a");
+  test.Run(seconds(2));
+  EXPECT_EQ(test.promotions(), 0);
+  test.Run(milliseconds(2'500));
+  EXPECT_EQ(test.promotions(), 1);
+  EXPECT_TRUE(test.violations().empty());
+}
+
+// Guards against a stop of all primary work because the store is away.
+TEST(KeeperTest, RightsOutlastAnOutageOfTheStore) {
+  keeper_simulation test(5);
+  test.Run(seconds(2));
+  test.store_up = false;
+  for (int i = 0; i < 90; ++i) {
+    test.Run(milliseconds(100));
+    EXPECT_TRUE(test.AllServe()) << i;
+  }
+  test.store_up = true;
+  test.Run(seconds(3));
+  EXPECT_TRUE(test.AllServe());
+}
+
+TEST(KeeperTest, VmWithoutTheStoreKeepsItsRightThroughOthers) {
+  keeper_simulation test(6);
+  test.Run(seconds(2));
+  test.vms()[2]->store_cut = true;
+  test.Run(seconds(9));
+  EXPECT_TRUE(test.HoldsRight(*test.vms()[2]));
+}
+
+TEST(KeeperTest, VmWithoutStoreAndOthersLosesItsRight) {
+  keeper_simulation test(7);
+  test.Run(seconds(2));
+  test.vms()[2]->store_cut = true;
+  test.vms()[2]->peers_cut = true;
+  test.Run(seconds(4));
+  EXPECT_FALSE(test.HoldsRight(*test.vms()[2]));
+}
+
+// Guards against a change of primary that stays unfinished when the VM that
+// makes it dies.
+TEST(KeeperTest, ChangeIsFinishedByAnotherVm) {
+  for (int64_t at_ms = 450; at_ms < 1'500; at_ms += 50) {
+    keeper_simulation test(100 + static_cast<uint64_t>(at_ms));
+    test.Run(seconds(2));
+    test.KillMember("a");
+    test.Run(milliseconds(at_ms));
+    for (const auto& each : test.vms()) {
+      // Whoever it is: all but one die.
+      if (each->name != "vm-0") {
+        test.Kill(*each);
+      }
+    }
+    test.Run(milliseconds(300));
+    for (const auto& each : test.vms()) {
+      if (!each->alive) {
+        test.Start(*each);
+      }
+    }
+    test.Run(seconds(9));
+    EXPECT_TRUE(test.AllServe()) << at_ms;
+    EXPECT_TRUE(test.violations().empty()) << test.violations().front();
+  }
+}
+
+TEST(KeeperTest, VmThatLeavesDelaysNothing) {
+  keeper_simulation test(8);
+  test.Run(seconds(2));
+  auto& leaving = *test.vms()[3];
+  leaving.mind->Step(test.now(), drain_started{});
+  leaving.mind->Step(test.now(), leave_started{});
+  EXPECT_TRUE(leaving.mind->leaving());
+}
+
+// Guards against a right of a process whose clock was set back: it counts as
+// newer than the one before.
+TEST(KeeperTest, IncarnationRisesAlthoughTheClockWentBack) {
+  options chosen;
+  chosen.self = {"vm-1", "127.0.0.1:1", "z", "r", 50};
+  keeper test(chosen,
+              {[](std::string_view, int64_t) { return size_t{0}; },
+               [](std::string_view) { return interactive::member_health{}; }});
+  const vm_registration former{"vm-1", "127.0.0.1:1", "z", "r", 70};
+  test.Step(TimeFromMs(1),
+            item_seen{{VmKey("vm-1"), EncodeVm(former), 3, 1}, false});
+  EXPECT_EQ(test.incarnation(), 71);
+}
+
+TEST(RecordsTest, RecordsSurviveTheStore) {
+  const primary_record primary{"i-1", 3, true, "vm-1/7", 9};
+  const auto read = DecodePrimary({PrimaryKey("g"), EncodePrimary(primary), 9});
+  ASSERT_TRUE(read);
+  EXPECT_EQ(*read, primary);
+  const vm_registration vm{"vm-1", "127.0.0.1:1", "z", "r", 7, {{"g", 5}}};
+  EXPECT_EQ(*DecodeVm({VmKey("vm-1"), EncodeVm(vm), 1}), vm);
+  EXPECT_EQ(DecodeDuty({DutyKey(), EncodeDuty({"vm-1", 7, 0}), 12})->token, 12);
+}
+
+TEST(RecordsTest, ForeignBytesAreRefused) {
+  for (const char* bytes : {"", "null", "[]", "{}", "{\"member\":1}", "\xff"}) {
+    EXPECT_FALSE(DecodePrimary({"k", bytes, 1})) << bytes;
+    EXPECT_FALSE(DecodeVm({"k", bytes, 1})) << bytes;
+    EXPECT_FALSE(DecodeDuty({"k", bytes, 1})) << bytes;
+  }
+}
+
+// Random faults on all parts at once. No VM may have a right to a primary that
+// was superseded, no lower token may be sent, and once all faults are over
+// every VM gets the right to the primary.
+class KeeperFaultsTest : public testing::TestWithParam<uint64_t> {};
+
+TEST_P(KeeperFaultsTest, RightsAreExclusiveAndReturn) {
+  keeper_simulation test(GetParam(), 3 + static_cast<int>(GetParam() % 5));
+  test.Run(seconds(static_cast<int64_t>(2 + test.Pick(15))));
+  for (int round = 0; round < 25; ++round) {
+    auto& vm = *test.vms()[test.Pick(test.vms().size())];
+    const std::string id(1, static_cast<char>('a' + test.Pick(3)));
+    switch (test.Pick(14)) {
+      case 0:
+        test.KillMember(id);
+        break;
+      case 1:
+      case 2:
+        test.ReviveMember(id);
+        break;
+      case 3:
+        vm.store_cut = !vm.store_cut;
+        break;
+      case 4:
+        vm.peers_cut = !vm.peers_cut;
+        break;
+      case 5:
+        vm.frozen_until =
+            test.now() +
+            milliseconds(200 + static_cast<int64_t>(test.Pick(5'000)));
+        break;
+      case 6:
+        test.Kill(vm);
+        break;
+      case 7:
+        for (const auto& each : test.vms()) {
+          if (!each->alive) {
+            test.Start(*each);
+          }
+        }
+        break;
+      case 8:
+        test.store_up = !test.store_up;
+        break;
+      case 9:
+        test.lost_answers = test.lost_answers > 0 ? 0 : 0.35;
+        test.late_writes = 0.5;
+        break;
+      case 10:
+        test.lost_promotions = test.lost_promotions > 0 ? 0 : 0.5;
+        break;
+      case 11:
+        test.members().at(id).draining = !test.members().at(id).draining;
+        test.PublishMembers();
+        break;
+      case 12:
+        vm.deaf_watch = !vm.deaf_watch;
+        break;
+      default:
+        vm.open_work = 1;
+        break;
+    }
+    test.Run(milliseconds(static_cast<int64_t>(20 + test.Pick(2'500))));
+  }
+  test.store_up = true;
+  test.lost_answers = 0;
+  test.lost_promotions = 0;
+  for (auto& [id, each] : test.members()) {
+    each.draining = false;
+    test.ReviveMember(id);
+  }
+  test.PublishMembers();
+  for (const auto& each : test.vms()) {
+    each->store_cut = false;
+    each->peers_cut = false;
+    each->deaf_watch = false;
+    each->frozen_until = test.now();
+    if (!each->alive) {
+      test.Start(*each);
+    }
+  }
+  test.Run(seconds(25));
+  EXPECT_TRUE(test.AllServe());
+  EXPECT_EQ(test.violations(), std::vector<std::string>());
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds,
+                         KeeperFaultsTest,
+                         testing::Range<uint64_t>(1, 201));
+
+}  // namespace
+}  // namespace tarragondale::leadership
