--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -9,9 +9,18 @@
 
 # configure_and_build FOLDER TARGETS [CMAKE OPTIONS...]
 configure_and_build() {
-  cmake -G Ninja -S . -B "$1" "${@:3}" >/dev/null
+  local log
+  mkdir -p "$1"
+  log=$1/build.log
   # shellcheck disable=SC2086
-  ninja -C "$1" -j "$jobs" $2 | tail -n 1
+  if ! { cmake -G Ninja -S . -B "$1" "${@:3}" &&
+    ninja -C "$1" -j "$jobs" $2; } >"$log" 2>&1; then
+    # The compiler's messages stand before ninja's last lines.
+    grep -nE 'error|FAILED|Error' "$log" | head -n 40 || true
+    tail -n 40 "$log"
+    return 1
+  fi
+  tail -n 1 "$log"
 }
 
 # Tests that KNOWN-RED.txt lists are run by name afterwards and only printed.
@@ -32,6 +41,7 @@
   done
 }
 
+scripts/check_dependencies.sh
 configure_and_build build all
 scripts/lint.sh build
 run_tests build
@@ -44,7 +54,7 @@
 run_tests build-asan
 # Only the programs that hold tests of scripts/threaded-tests.txt.
 configure_and_build build-tsan \
-  'base_test store_test telemetry_test runtime_test system_test' \
+  'base_test store_test telemetry_test runtime_test system_test platform_test' \
   -DTARRAGONDALE_SANITIZE=thread
 TSAN_OPTIONS="suppressions=$PWD/scripts/tsan.supp halt_on_error=1" \
   run_tests build-tsan -R "$(paste -sd'|' scripts/threaded-tests.txt)"
--- a/src/runtime/daemon.cc
+++ b/src/runtime/daemon.cc
@@ -3,6 +3,7 @@
 #include <array>
 #include <atomic>
 #include <chrono>
+#include <mutex>
 #include <random>
 #include <utility>
 
@@ -88,6 +89,26 @@
   return options;
 }
 
+// The newest view of the fleet, which one thread publishes and others read. A
+// lock instead of `std::atomic<std::shared_ptr>`: the one of GCC 12 releases
+// its internal lock after a load with relaxed order, which ThreadSanitizer
+// reports as a race with the next store.
+class published_view {
+ public:
+  void Set(fleet::fleet_view_ptr view) {
+    const std::lock_guard lock(mutex_);
+    view_ = std::move(view);
+  }
+  fleet::fleet_view_ptr Get() const {
+    const std::lock_guard lock(mutex_);
+    return view_;
+  }
+
+ private:
+  mutable std::mutex mutex_;
+  fleet::fleet_view_ptr view_;
+};
+
 }  // namespace
 
 // Every member named `..._duty_` or machine is used by its own thread only;
@@ -278,7 +299,7 @@
       OnMessage({vm, std::move(body)});
       return true;
     }
-    const fleet::fleet_view_ptr view = view_.load();
+    const fleet::fleet_view_ptr view = view_.Get();
     const wire::vm_record* const record = view ? view->Find(vm) : nullptr;
     return record != nullptr &&
            transport_.Send(vm, record->peer_address, std::move(body));
@@ -408,7 +429,7 @@
             },
         .publish_view =
             [this](const fleet::fleet_view_ptr& view) {
-              view_.store(view);
+              view_.Set(view);
               PostEntry(entry::fleet_changed{view});
               PostGateway(pool::fleet_changed{view});
             },
@@ -503,7 +524,7 @@
 
   const config::settings settings_;
   const uint64_t origin_;
-  std::atomic<std::shared_ptr<const fleet::fleet_view>> view_;
+  published_view view_;
   metrics_text metrics_;
   telemetry::registry registry_;
   // Time to answer callers, by outcome.
--- a/src/runtime/line/line_daemon.cc
+++ b/src/runtime/line/line_daemon.cc
@@ -259,7 +259,9 @@
         leadership::member_checked{action.member, action.status}));
   }
   void Do(const interactive::decision_note& action) {
-    WriteLog(action.level, log_part::kSession, action.text);
+    if (LogEnabled(action.level)) {
+      WriteLog(action.level, log_part::kSession, action.text);
+    }
   }
   void Do(const interactive::drained& /*action*/) {
     inbox_.emplace_back(leadership::event(leadership::leave_started{}));
@@ -339,7 +341,9 @@
     inbox_.emplace_back(interactive::event(std::move(changed)));
   }
   void Do(const leadership::note& action) {
-    WriteLog(action.level, log_part::kPrimary, action.text);
+    if (LogEnabled(action.level)) {
+      WriteLog(action.level, log_part::kPrimary, action.text);
+    }
   }
 
   // --- The store's keys ---
