Read the records of primaries through other VMs; watch longer

A VM reads itself only if nobody told it of a read within 1.8 s; a watch waits 5 s, and one that is silent shows by a revision that another call or VM knows.

--- a/include/tarragondale/leadership.h
+++ b/include/tarragondale/leadership.h
@@ -212,6 +212,9 @@
   /// Taken off every right for clocks that run at different speeds.
   duration right_margin = milliseconds(300);
   duration confirm_interval = milliseconds(1'000);
+  /// A VM without the duty reads the records itself only if no other VM told it
+  /// of a read that is newer than this.
+  duration relayed_confirm_limit = milliseconds(1'800);
   /// Bounds rights without the store, so longer than its usual outages.
   duration registration_lifetime = milliseconds(15'000);
   duration registration_interval = milliseconds(3'000);
--- a/include/tarragondale/wire.h
+++ b/include/tarragondale/wire.h
@@ -253,8 +253,9 @@
   uint64_t sequence = 0;  ///< Rises with each digest to the receiver.
   uint64_t echo = 0;      ///< Newest sequence received from the receiver.
   int64_t incarnation = 0;
-  std::string peer_address;  ///< Of the sender, for VMs that don't know it.
-  bool leaving = false;      ///< The sender holds no rights any more and ends.
+  std::string peer_address;    ///< Of the sender, for VMs that don't know it.
+  int64_t store_revision = 0;  ///< Changes up to here are known to the sender.
+  bool leaving = false;  ///< The sender holds no rights any more and ends.
   int64_t configuration_version = 0;
   /// The sender's newest linearizable read of all primaries' records was sent
   /// this long ago; -1: never.
--- a/src/interactive/broker_implementation.h
+++ b/src/interactive/broker_implementation.h
@@ -106,7 +106,7 @@
   size_t ShareOf(const member& of) const;
 
   // --- Answers and failures of links (broker_links.cc) ---
-  void OnBegun(session& of, link& on, member_answer answer);
+  void OnBegun(session& of, link& on, const member_answer& answer);
   void OnRun(session& of,
              link& on,
              const awaited_answer& awaited,
--- a/src/interactive/broker_links.cc
+++ b/src/interactive/broker_links.cc
@@ -145,7 +145,7 @@
 
 void session_broker::implementation::OnBegun(session& of,
                                              link& on,
-                                             member_answer answer) {
+                                             const member_answer& answer) {
   if (answer.code == member_code::kDone) {
     on.begun = true;
     of.open->link = on.id;
--- a/src/interactive/broker_statements.cc
+++ b/src/interactive/broker_statements.cc
@@ -169,7 +169,11 @@
 void session_broker::implementation::StartWork(session& of,
                                                time_point arrived,
                                                caller_statement statement) {
-  const route& settings = of.open ? of.open->settings : *RouteOf(of);
+  const route* const found = of.open ? &of.open->settings : RouteOf(of);
+  if (found == nullptr) {
+    return;  // `RefuseByAccess` has answered.
+  }
+  const route settings = *found;
   work started;
   if (statement.kind == statement_kind::kExecute) {
     const auto prepared = of.prepared.find(statement.name);
--- a/src/interactive/broker_timers.cc
+++ b/src/interactive/broker_timers.cc
@@ -72,9 +72,9 @@
   const bool begun = pool_.FindLink(on)->begun;
   const bool commit = late.statement.kind == statement_kind::kCommit;
   const bool unknown = late.writes && (!of.open || (begun && commit));
-  const result_code code = unknown   ? result_code::kUnknownTimeout
-                           : of.open ? result_code::kTransactionAborted
-                                     : result_code::kUnknownTimeout;
+  const result_code code = of.open && !unknown
+                               ? result_code::kTransactionAborted
+                               : result_code::kUnknownTimeout;
   if (of.open) {
     of.open->link = 0;
   }
--- a/src/leadership/keeper.cc
+++ b/src/leadership/keeper.cc
@@ -5,8 +5,6 @@
 
 namespace tarragondale::leadership {
 
-using store::keyspace::call_status;
-
 keeper::keeper(options options, broker_view view)
     : implementation_(std::make_unique<implementation>(std::move(options),
                                                        std::move(view))) {}
--- a/src/leadership/keeper_implementation.h
+++ b/src/leadership/keeper_implementation.h
@@ -135,6 +135,7 @@
   void KeepRegistration();
   void KeepDuty();
   void KeepConfirmed();
+  bool IsConfirmedByOthers() const;
   void OnRegistrationAnswer(call_kind kind, const store_answered& event);
   void OnDutyAnswer(call_kind kind, const store_answered& event);
   void OnConfirmed(const store_answered& event);
--- a/src/leadership/keeper_leases.cc
+++ b/src/leadership/keeper_leases.cc
@@ -196,11 +196,25 @@
   if (confirming_ || now_ < next_confirm_ || !registered_) {
     return;
   }
+  if (!confirm_again_ && !holding_ && IsConfirmedByOthers()) {
+    return;
+  }
   confirming_ = true;
   confirm_again_ = false;
   Call(call_kind::kConfirm, store::keyspace::range_call{PrimaryPrefix(), ""});
 }
 
+// One VM's reads of the records serve all that hear of them in time.
+bool keeper::implementation::IsConfirmedByOthers() const {
+  return !records_.empty() &&
+         std::all_of(records_.begin(), records_.end(), [&](const auto& each) {
+           const auto confirmed = confirmed_.find(each.first);
+           return each.second.moving ||
+                  (confirmed != confirmed_.end() &&
+                   now_ - confirmed->second < options_.relayed_confirm_limit);
+         });
+}
+
 void keeper::implementation::OnConfirmed(const store_answered& event) {
   confirming_ = false;
   if (event.reply.status != call_status::kDone) {
--- a/src/runtime/line/line_daemon.cc
+++ b/src/runtime/line/line_daemon.cc
@@ -284,6 +284,7 @@
                           if (outcome.status != 0) {
                             answered.reply = platform::DecodeStoreReply(
                                 call, outcome.status, outcome.body);
+                            mirror_.Expect(answered.reply.revision);
                           } else {
                             answered.reply.status =
                                 outcome.sent
@@ -350,7 +351,7 @@
 
   store_mirror::handlers MirrorHandlers() {
     return {.loaded =
-                [this](std::vector<store::keyspace::item> items) {
+                [this](const std::vector<store::keyspace::item>& items) {
                   OnLoaded(items);
                 },
             .changed =
@@ -504,6 +505,7 @@
         }
       }
     }
+    mirror_.Expect(digest.store_revision);
     const int64_t own_version = catalogue_ ? catalogue_->version : 0;
     if (digest.configuration_version > own_version && now >= next_copy_) {
       next_copy_ = now + kCopyInterval;
@@ -544,6 +546,7 @@
     digest.incarnation = keeper_.incarnation();
     digest.peer_address = settings_.peer_address;
     digest.leaving = keeper_.leaving();
+    digest.store_revision = mirror_.revision();
     digest.configuration_version = catalogue_ ? catalogue_->version : 0;
     if (const auto confirmed = keeper_.confirmed_at()) {
       digest.confirmed_age_ms = AgeMs(now, *confirmed);
--- a/src/runtime/line/store_mirror.cc
+++ b/src/runtime/line/store_mirror.cc
@@ -8,10 +8,12 @@
 namespace {
 
 constexpr duration kLoadLimit = milliseconds(1'200);
-// A watch that is silent for longer has lost its connection. Short enough that
-// a configuration is in force in time after a connection went silent.
-constexpr milliseconds kWatchWait(2'000);
-constexpr duration kWatchLimit = milliseconds(2'900);
+// A watch that is silent for longer has lost its connection.
+constexpr milliseconds kWatchWait(5'000);
+constexpr duration kWatchLimit = milliseconds(6'000);
+// How long a known revision may be missing before the watch counts as silent.
+// Short enough that a configuration is in force in time.
+constexpr duration kExpectedLimit = milliseconds(800);
 constexpr int64_t kRetryMinMs = 150;
 constexpr int64_t kRetryMaxMs = 400;
 
@@ -24,16 +26,40 @@
     : channel_(channel),
       handlers_(std::move(handlers)),
       timer_(context),
-      random_(seed) {}
+      random_(seed),
+      check_timer_(context) {}
 
 void store_mirror::Stop() {
   stopped_ = true;
   timer_.cancel();
+  check_timer_.cancel();
+}
+
+void store_mirror::Expect(int64_t revision) {
+  expected_ = std::max(expected_, revision);
+  if (expected_ <= revision_ || checking_ || stopped_) {
+    return;
+  }
+  checking_ = true;
+  check_timer_.expires_after(kExpectedLimit);
+  check_timer_.async_wait(
+      [this, awaited = expected_](boost::system::error_code error) {
+        checking_ = false;
+        if (!error && !stopped_ && revision_ < awaited) {
+          Log(log_level::kWarning, log_part::kStore,
+              "the watch is silent at revision {}, the store is at {}; all is "
+              "loaded anew.",
+              revision_, awaited);
+          Load();
+        }
+      });
 }
 
 void store_mirror::Load() {
+  ++generation_;
+  timer_.cancel();
   loading_.clear();
-  revision_ = 0;
+  first_page_ = 0;
   LoadPage("");
 }
 
@@ -42,60 +68,62 @@
 void store_mirror::LoadPage(std::string after) {
   const store::keyspace::call call =
       store::keyspace::range_call{"", std::move(after)};
-  channel_.Call(platform::EncodeStoreCall(call), kLoadLimit,
-                [this, call](const http_outcome& outcome) {
-                  if (stopped_) {
-                    return;
-                  }
-                  auto reply = platform::DecodeStoreReply(call, outcome.status,
-                                                          outcome.body);
-                  if (reply.status != call_status::kDone) {
-                    SetReachable(false, outcome.error.empty() ? reply.reason
-                                                              : outcome.error);
-                    return RetryLater(true);
-                  }
-                  SetReachable(true, "");
-                  if (revision_ == 0) {
-                    revision_ = reply.revision;
-                  }
-                  const std::string last = reply.items.empty()
-                                               ? std::string()
-                                               : reply.items.back().key;
-                  std::move(reply.items.begin(), reply.items.end(),
-                            std::back_inserter(loading_));
-                  if (reply.more && !last.empty()) {
-                    return LoadPage(last);
-                  }
-                  handlers_.loaded(std::exchange(loading_, {}));
-                  Watch();
-                });
+  channel_.Call(
+      platform::EncodeStoreCall(call), kLoadLimit,
+      [this, call, generation = generation_](const http_outcome& outcome) {
+        if (stopped_ || generation != generation_) {
+          return;
+        }
+        auto reply =
+            platform::DecodeStoreReply(call, outcome.status, outcome.body);
+        if (reply.status != call_status::kDone) {
+          SetReachable(false,
+                       outcome.error.empty() ? reply.reason : outcome.error);
+          return RetryLater(true);
+        }
+        SetReachable(true, "");
+        if (first_page_ == 0) {
+          first_page_ = reply.revision;
+        }
+        const std::string last =
+            reply.items.empty() ? std::string() : reply.items.back().key;
+        std::move(reply.items.begin(), reply.items.end(),
+                  std::back_inserter(loading_));
+        if (reply.more && !last.empty()) {
+          return LoadPage(last);
+        }
+        revision_ = first_page_;
+        handlers_.loaded(std::exchange(loading_, {}));
+        Watch();
+      });
 }
 
 void store_mirror::Watch() {
   const store::keyspace::call call =
       store::keyspace::watch_call{"", revision_, kWatchWait};
-  channel_.Call(platform::EncodeStoreCall(call), kWatchLimit,
-                [this, call](const http_outcome& outcome) {
-                  if (stopped_) {
-                    return;
-                  }
-                  auto reply = platform::DecodeStoreReply(call, outcome.status,
-                                                          outcome.body);
-                  if (reply.status == call_status::kCompacted) {
-                    return Load();
-                  }
-                  if (reply.status != call_status::kDone) {
-                    SetReachable(false, outcome.error.empty() ? reply.reason
-                                                              : outcome.error);
-                    return RetryLater(false);
-                  }
-                  SetReachable(true, "");
-                  revision_ = std::max(revision_, reply.revision);
-                  if (!reply.changes.empty()) {
-                    handlers_.changed(std::move(reply.changes));
-                  }
-                  Watch();
-                });
+  channel_.Call(
+      platform::EncodeStoreCall(call), kWatchLimit,
+      [this, call, generation = generation_](const http_outcome& outcome) {
+        if (stopped_ || generation != generation_) {
+          return;
+        }
+        auto reply =
+            platform::DecodeStoreReply(call, outcome.status, outcome.body);
+        if (reply.status == call_status::kCompacted) {
+          return Load();
+        }
+        if (reply.status != call_status::kDone) {
+          SetReachable(false,
+                       outcome.error.empty() ? reply.reason : outcome.error);
+          return RetryLater(false);
+        }
+        SetReachable(true, "");
+        revision_ = std::max(revision_, reply.revision);
+        if (!reply.changes.empty()) {
+          handlers_.changed(reply.changes);
+        }
+        Watch();
+      });
 }
 
 void store_mirror::RetryLater(bool load) {
--- a/src/runtime/line/store_mirror.h
+++ b/src/runtime/line/store_mirror.h
@@ -19,8 +19,8 @@
  public:
   struct handlers {
     /// All keys, read page by page; keys that are missing are gone.
-    std::function<void(std::vector<store::keyspace::item>)> loaded;
-    std::function<void(std::vector<store::keyspace::change>)> changed;
+    std::function<void(const std::vector<store::keyspace::item>&)> loaded;
+    std::function<void(const std::vector<store::keyspace::change>&)> changed;
     /// The store answers (again), or does not (any more), with the reason.
     std::function<void(bool reachable, const std::string& reason)> reachable;
   };
@@ -33,11 +33,19 @@
   void Start() { Load(); }
   void Stop();
 
+  /// @brief The store is known to have reached this revision. If the watch does
+  /// not deliver it soon, its connection is silent, and all is loaded anew.
+  void Expect(int64_t revision);
+
+  /// @brief Changes up to this revision are known.
+  int64_t revision() const { return revision_; }
+
  private:
   void Load();
   void LoadPage(std::string after);
   void Watch();
   void RetryLater(bool load);
+
   void SetReachable(bool reachable, const std::string& reason);
 
   http_channel& channel_;
@@ -45,7 +53,13 @@
   boost::asio::steady_timer timer_;
   std::mt19937_64 random_;
   std::vector<store::keyspace::item> loading_;
-  int64_t revision_ = 0;  ///< Changes up to here are known.
+  int64_t revision_ = 0;    ///< Changes up to here are known.
+  int64_t expected_ = 0;    ///< The store has reached this revision.
+  int64_t first_page_ = 0;  ///< Revision of the load's first page.
+  bool checking_ = false;
+  boost::asio::steady_timer check_timer_;
+  /// Answers to calls of an older generation are ignored.
+  uint64_t generation_ = 0;
   bool reachable_ = false;
   bool stopped_ = false;
 };
--- a/src/wire/fields.h
+++ b/src/wire/fields.h
@@ -190,6 +190,7 @@
                  &fleet_digest::echo,
                  &fleet_digest::incarnation,
                  &fleet_digest::peer_address,
+                 &fleet_digest::store_revision,
                  &fleet_digest::leaving,
                  &fleet_digest::configuration_version,
                  &fleet_digest::confirmed_age_ms,
--- a/src/wire/wire_test.cc
+++ b/src/wire/wire_test.cc
@@ -35,6 +35,7 @@
   digest.peer_address = "127.0.0.1:1";
   digest.configuration_version = 7;
   digest.confirmed_age_ms = 40;
+  digest.store_revision = 530;
   digest.leaving = true;
   digest.primaries = {
       {"orders", "i-1", 3, 412, true, true, 412, {3, 77}, 12, 5, -1}};
