--- a/include/tarragondale/leadership.h
+++ b/include/tarragondale/leadership.h
@@ -238,6 +238,9 @@
   /// How long the candidates' statuses are awaited.
   duration choose_limit = milliseconds(450);
   duration catch_up_limit = milliseconds(1'500);
+  /// How long all members are awaited where commits are synchronous: without
+  /// one of them an acknowledged commit might be lost.
+  duration synchronous_limit = milliseconds(10'000);
   duration restore_limit = milliseconds(3'000);
   duration promote_retry = milliseconds(700);
   duration confirm_limit = milliseconds(2'000);
--- a/src/leadership/keeper_handover.cc
+++ b/src/leadership/keeper_handover.cc
@@ -318,12 +318,15 @@
   const interactive::member_status* best_status = nullptr;
   size_t answered = 0;
   size_t candidates = 0;
+  log_position newest;  // Of all members but the old primary.
+  bool all_known = true;
   for (const interactive::member_record* each : MembersOf(group)) {
     const bool eligible = each->id != move.from && !each->draining &&
                           !move.refused.contains(each->id);
     candidates += eligible ? 1 : 0;
     const auto found = move.statuses.find(each->id);
     if (found == move.statuses.end() || found->second.at < move.state_since) {
+      all_known = all_known && each->id == move.from;
       continue;
     }
     const interactive::member_status& status = found->second.status;
@@ -342,6 +345,7 @@
       move.new_term = status.term;
       return Fire(group, move, handover_event::kAlreadyPrimary, each->id);
     }
+    newest = std::max(newest, status.received);
     if (!eligible) {
       continue;
     }
@@ -359,6 +363,14 @@
       answered == candidates && (from != nullptr || !move.planned);
   const duration limit =
       from != nullptr ? options_.catch_up_limit : options_.choose_limit;
+  const auto limits = catalogue_->groups.find(group);
+  const bool synchronous = limits != catalogue_->groups.end() &&
+                           limits->second.synchronous_replicas > 0;
+  if (synchronous && best != nullptr && waited < options_.synchronous_limit &&
+      (!all_known || best_status->received < newest)) {
+    // Any of the members may be the one that holds the last commits.
+    return;
+  }
   if (best != nullptr &&
       ((complete && (from == nullptr || caught_up)) || waited > limit)) {
     move.chosen = *best;
--- a/src/leadership/keeper_simulation.h
+++ b/src/leadership/keeper_simulation.h
@@ -66,9 +66,10 @@
   const std::string& primary() const { return primary_; }
   time_point now() const { return now_; }
   bool store_up = true;
-  double lost_answers = 0;     ///< Part of the store's answers.
-  double late_writes = 0;      ///< Part of lost calls that run seconds later.
-  double lost_promotions = 0;  ///< Part of the promotions' answers.
+  int synchronous_replicas = 0;  ///< Of VMs that start from now on.
+  double lost_answers = 0;       ///< Part of the store's answers.
+  double late_writes = 0;        ///< Part of lost calls that run seconds later.
+  double lost_promotions = 0;    ///< Part of the promotions' answers.
   int promotions() const { return promotions_; }
   const std::vector<std::string>& violations() const { return violations_; }
 
@@ -91,7 +92,7 @@
     of.incarnation = chosen.self.incarnation;
     PublishMembers(of);
     auto catalogue = std::make_shared<interactive::catalogue>();
-    catalogue->groups["g"] = {"g", 16, 0};
+    catalogue->groups["g"] = {"g", 16, synchronous_replicas};
     Step(of, catalogue_changed{catalogue});
     Load(of);
   }
--- a/src/leadership/keeper_test.cc
+++ b/src/leadership/keeper_test.cc
@@ -35,6 +35,26 @@
   EXPECT_TRUE(test.AllServe());
 }
 
+// Guards against the loss of commits that only a member holds which does not
+// answer at the moment.
+TEST(KeeperTest, SynchronousGroupWaitsForAllReplicas) {
+  keeper_simulation test(9);
+  test.synchronous_replicas = 1;
+  for (const auto& each : test.vms()) {
+    test.Kill(*each);
+    test.Start(*each);
+  }
+  test.Run(seconds(4));
+  test.members().at("b").status.received = {1, 120};
+  test.members().at("b").alive = false;
+  test.KillMember("a");
+  test.Run(seconds(4));
+  EXPECT_EQ(test.promotions(), 0);
+  test.members().at("b").alive = true;
+  test.Run(seconds(2));
+  EXPECT_EQ(test.primary(), "b");
+}
+
 // Guards against a promotion while a VM that can't be told still has a right.
 TEST(KeeperTest, SilentVmDelaysThePromotionUntilItsRightEnds) {
   keeper_simulation test(4);
