Close sockets between VMs without waiting for ever; name the statement in each refusal

Finding: platform_test hung once, in nng_close below peer_transport::Stop (stack of the hung process; nng 1.5.2 waits for a pipe). Closing now happens on a thread of its own, with a limit of 2 s at shutdown. No test fails first: the hang does not come on demand.

--- a/include/tarragondale/store/keyspace.h
+++ b/include/tarragondale/store/keyspace.h
@@ -79,7 +79,6 @@
   kRefused,    ///< Nothing was done: overloaded, rate-limited or not connected.
   kUnknown,    ///< No answer; a write may have been or may yet be done.
 };
-std::string_view CallStatusName(call_status status);
 
 /// @brief The answer to a call; which members are set depends on the call.
 struct reply {
--- a/src/interactive/broker_implementation.h
+++ b/src/interactive/broker_implementation.h
@@ -71,15 +71,20 @@
   // --- Statements of callers (broker_statements.cc) ---
   void StartNext(session& of);
   void Handle(session& of, time_point arrived, caller_statement statement);
-  bool RefuseByAccess(session& of);
+  bool RefuseByAccess(session& of, const caller_statement& statement);
   void HandleSet(session& of, const caller_statement& statement);
   void HandlePrepare(session& of, const caller_statement& statement);
   void HandleDeallocate(session& of, const caller_statement& statement);
   void HandleBegin(session& of, const caller_statement& statement);
   void HandleRollback(session& of);
   void StartWork(session& of, time_point arrived, caller_statement statement);
-  bool TakeRate(session& of);
+  bool TakeRate(session& of, const caller_statement& statement);
   const route* RouteOf(const session& of) const;
+  // Answers a statement that was not sent to a member, and logs why.
+  void Refuse(session& of,
+              const std::string& id,
+              result_code code,
+              std::string reason);
   void Answer(session& of,
               result_code code,
               std::string reason,
--- a/src/interactive/broker_statements.cc
+++ b/src/interactive/broker_statements.cc
@@ -30,6 +30,16 @@
   }
 }
 
+void session_broker::implementation::Refuse(session& of,
+                                            const std::string& id,
+                                            result_code code,
+                                            std::string reason) {
+  Note(log_level::kInfo,
+       "statement {} of session {}, organisation {} is refused as {}: {}", id,
+       of.id, of.organisation, InfoOf(code).name, reason);
+  Answer(of, code, std::move(reason));
+}
+
 void session_broker::implementation::Handle(session& of,
                                             time_point arrived,
                                             caller_statement statement) {
@@ -37,19 +47,19 @@
   if (statement.kind == kRollback) {
     return HandleRollback(of);
   }
-  if (RefuseByAccess(of)) {
+  if (RefuseByAccess(of, statement)) {
     return;
   }
   if (of.open && of.open->failed) {
     if (statement.kind == kCommit) {
       of.open.reset();
-      return Answer(of, result_code::kTransactionAborted,
+      return Refuse(of, statement.id, result_code::kTransactionAborted,
                     "the transaction had failed and is rolled back");
     }
     return of.open->failure_told
-               ? Answer(of, result_code::kStatementMalformed,
+               ? Refuse(of, statement.id, result_code::kStatementMalformed,
                         "the transaction failed; only its end is accepted")
-               : Answer(of, result_code::kTransactionAborted,
+               : Refuse(of, statement.id, result_code::kTransactionAborted,
                         "the transaction was rolled back meanwhile");
   }
   switch (statement.kind) {
@@ -64,7 +74,7 @@
       return HandleBegin(of, statement);
     case kMalformed:
     case kRollback:
-      return Answer(of, result_code::kStatementMalformed,
+      return Refuse(of, statement.id, result_code::kStatementMalformed,
                     "this is not a statement");
     case kRead:
     case kWrite:
@@ -77,11 +87,13 @@
 
 // A key that was withdrawn ends new work of open sessions, also within a
 // transaction; a route's change applies from the next transaction.
-bool session_broker::implementation::RefuseByAccess(session& of) {
+bool session_broker::implementation::RefuseByAccess(
+    session& of,
+    const caller_statement& statement) {
   const route* const settings = of.open ? &of.open->settings : RouteOf(of);
   if (settings == nullptr) {
     of.closing = true;
-    Answer(of, result_code::kRouteUnknown,
+    Refuse(of, statement.id, result_code::kRouteUnknown,
            fmt::format("no route has this database in version {}",
                        catalogue_->version));
     return true;
@@ -99,7 +111,7 @@
     of.open.reset();
   }
   of.closing = true;
-  Answer(of, result_code::kKeyInvalid,
+  Refuse(of, statement.id, result_code::kKeyInvalid,
          fmt::format("the key was withdrawn; version {}", catalogue_->version));
   return true;
 }
@@ -109,7 +121,7 @@
     const caller_statement& statement) {
   if (!of.values.contains(statement.name) &&
       of.values.size() >= options_.max_values) {
-    return Answer(of, result_code::kBodyTooLarge,
+    return Refuse(of, statement.id, result_code::kBodyTooLarge,
                   "the session has too many values");
   }
   of.values[statement.name] = statement.argument;
@@ -121,7 +133,7 @@
     const caller_statement& statement) {
   if (!of.prepared.contains(statement.name) &&
       of.prepared.size() >= options_.max_values) {
-    return Answer(of, result_code::kBodyTooLarge,
+    return Refuse(of, statement.id, result_code::kBodyTooLarge,
                   "the session has too many prepared statements");
   }
   of.prepared[statement.name] = {statement.writes, statement.argument};
@@ -132,7 +144,7 @@
     session& of,
     const caller_statement& statement) {
   if (of.prepared.erase(statement.name) == 0) {
-    return Answer(of, result_code::kPreparedStatementUnknown,
+    return Refuse(of, statement.id, result_code::kPreparedStatementUnknown,
                   "no prepared statement has this name");
   }
   Answer(of, result_code::kOk, "");
@@ -144,10 +156,10 @@
     session& of,
     const caller_statement& statement) {
   if (of.open) {
-    return Answer(of, result_code::kStatementMalformed,
+    return Refuse(of, statement.id, result_code::kStatementMalformed,
                   "a transaction is open already");
   }
-  if (!TakeRate(of)) {
+  if (!TakeRate(of, statement)) {
     return;
   }
   transaction begun;
@@ -181,13 +193,13 @@
       if (of.open) {
         FailTransaction(of);
       }
-      return Answer(of, result_code::kPreparedStatementUnknown,
+      return Refuse(of, statement.id, result_code::kPreparedStatementUnknown,
                     "no prepared statement has this name");
     }
     started.writes = prepared->second.writes;
   } else if (statement.kind == statement_kind::kCommit) {
     if (!of.open) {
-      return Answer(of, result_code::kStatementMalformed,
+      return Refuse(of, statement.id, result_code::kStatementMalformed,
                     "no transaction is open");
     }
     started.writes = !of.open->read_only;
@@ -196,10 +208,10 @@
   }
   if (of.open && of.open->read_only && started.writes) {
     FailTransaction(of);
-    return Answer(of, result_code::kReadOnlyViolation,
+    return Refuse(of, statement.id, result_code::kReadOnlyViolation,
                   "the transaction is read-only");
   }
-  if (!of.open && !TakeRate(of)) {
+  if (!of.open && !TakeRate(of, statement)) {
     return;
   }
   started.primary_only = started.writes ||
@@ -221,7 +233,9 @@
   TryDispatch(of);
 }
 
-bool session_broker::implementation::TakeRate(session& of) {
+bool session_broker::implementation::TakeRate(
+    session& of,
+    const caller_statement& statement) {
   const auto found = rates_.find(of.organisation);
   if (found == rates_.end() ||
       catalogue_->organisations.at(of.organisation).rate <= 0) {
@@ -231,7 +245,7 @@
     return true;
   }
   ++metrics_.rate_refused;
-  Answer(of, result_code::kRateExceeded,
+  Refuse(of, statement.id, result_code::kRateExceeded,
          fmt::format("organisation {} is beyond its rate; retry after {} ms",
                      of.organisation, ToMs(found->second.UntilNext())));
   return false;
@@ -248,8 +262,6 @@
                                             member_answer* from) {
   if (code != result_code::kOk) {
     ++metrics_.failures[code];
-    Note(log_level::kInfo, "session {} of {}: {} ({})", of.id, of.organisation,
-         InfoOf(code).name, reason);
     if (of.open) {
       of.open->failure_told = of.open->failed;
     }
@@ -295,8 +307,11 @@
   of.current.reset();
   active_.erase(of.id);
   Note(log_level::kInfo,
-       "statement {} of session {} ends as {} after {} ms, attempts {}: {}",
-       ended.statement.id, of.id, InfoOf(code).name, ToMs(now_ - ended.arrived),
+       "statement {} ({}, {}) of session {}, organisation {}, group {} ends as "
+       "{} after {} ms, attempts {}: {}",
+       ended.statement.id, StatementKindName(ended.statement.kind),
+       FreshnessName(ended.settings.reads), of.id, of.organisation,
+       ended.settings.group, InfoOf(code).name, ToMs(now_ - ended.arrived),
        ended.attempts, reason);
   if (of.open) {
     FailTransaction(of);
--- a/src/interactive/broker_timers.cc
+++ b/src/interactive/broker_timers.cc
@@ -126,12 +126,14 @@
     const bool expired =
         each.idle() &&
         (now_ - each.used > options_.idle_link_limit || (leaves && !primary));
+    const bool check_is_late =
+        each.check && now_ - each.opened_at > options_.check_limit;
+    const bool orphan_is_late =
+        each.owner == 0 && !each.awaited.empty() &&
+        now_ - each.awaited.front().sent > options_.connect_limit * 2;
     if (expired) {
       unused.push_back(id);
-    } else if (each.check && now_ - each.opened_at > options_.check_limit) {
-      late.push_back(id);
-    } else if (each.owner == 0 && !each.awaited.empty() &&
-               now_ - each.awaited.front().sent > options_.connect_limit * 2) {
+    } else if (check_is_late || orphan_is_late) {
       late.push_back(id);
     }
   }
--- a/src/runtime/line/http_channel.cc
+++ b/src/runtime/line/http_channel.cc
@@ -155,12 +155,6 @@
   TakeIdle()->Start(endpoint_, address_, request, limit, std::move(done));
 }
 
-size_t http_channel::running() const {
-  return static_cast<size_t>(
-      std::count_if(connections_.begin(), connections_.end(),
-                    [](const auto& each) { return each->busy(); }));
-}
-
 std::shared_ptr<http_channel::connection> http_channel::TakeIdle() {
   // Those that ended are forgotten, beyond a few that stay open.
   std::erase_if(connections_, [](const auto& each) {
--- a/src/runtime/line/http_channel.h
+++ b/src/runtime/line/http_channel.h
@@ -39,9 +39,6 @@
             duration limit,
             callback done);
 
-  /// @brief Calls whose answer is due.
-  size_t running() const;
-
  private:
   class connection;
 
--- a/src/runtime/peer_transport.cc
+++ b/src/runtime/peer_transport.cc
@@ -7,6 +7,7 @@
 
 #include <arpa/inet.h>
 
+#include <future>
 #include <utility>
 #include <vector>
 
@@ -19,6 +20,9 @@
 constexpr nng_duration kReceiveTimeoutMs = 100;
 constexpr nng_duration kReconnectMinMs = 20;
 constexpr nng_duration kReconnectMaxMs = 500;
+// nng 1.5.2 now and then waits for ever for a pipe of a socket that is closed
+// (seen under load); a shutdown must not wait for it.
+constexpr duration kCloseLimit = seconds(2);
 
 std::string Url(std::string_view address) {
   return "tcp://" + std::string(address);
@@ -110,8 +114,8 @@
 }
 
 void peer_transport::Maintain(time_point now, duration limit, duration idle) {
-  std::vector<link_ptr> closed;  // Destroyed without the lock.
-  const std::lock_guard lock(mutex_);
+  std::vector<link_ptr> closed;
+  std::unique_lock lock(mutex_);
   for (auto next = links_.begin(); next != links_.end();) {
     link& link = *next->second;
     const bool unresponsive =
@@ -129,6 +133,13 @@
     closed.push_back(std::move(next->second));
     next = links_.erase(next);
   }
+  lock.unlock();
+  if (!closed.empty()) {
+    // Closing a socket may block; the caller's thread must not.
+    std::thread([closed = std::move(closed)]() mutable {
+      closed.clear();
+    }).detach();
+  }
 }
 
 void peer_transport::Stop() {
@@ -138,11 +149,28 @@
   if (thread_.joinable()) {
     thread_.join();
   }
-  if (pull_ >= 0) {
-    nng_close(nng_socket{static_cast<uint32_t>(pull_)});
+  std::vector<link_ptr> closed;
+  {
+    const std::lock_guard lock(mutex_);
+    for (auto& [vm, link] : links_) {
+      closed.push_back(std::move(link));
+    }
+    links_.clear();
+  }
+  const auto done = std::make_shared<std::promise<void>>();
+  std::future<void> finished = done->get_future();
+  std::thread([pull = pull_, closed = std::move(closed), done]() mutable {
+    if (pull >= 0) {
+      nng_close(nng_socket{static_cast<uint32_t>(pull)});
+    }
+    closed.clear();
+    done->set_value();
+  }).detach();
+  if (finished.wait_for(kCloseLimit) != std::future_status::ready) {
+    Log(log_level::kWarning, log_part::kPeer,
+        "sockets did not close within {} ms and are left to the system.",
+        ToMs(kCloseLimit));
   }
-  const std::lock_guard lock(mutex_);
-  links_.clear();
 }
 
 peer_transport::link_ptr peer_transport::Dial(std::string_view address) {
