--- a/src/runtime/line/fleet_exchange_test.cc
+++ b/src/runtime/line/fleet_exchange_test.cc
@@ -81,6 +81,7 @@
 TEST(FleetExchangeTest, LargeFleetsAreToldInTurn) {
   fleet_exchange exchange("vm-1", {});
   std::vector<leadership::vm_registration> vms;
+  vms.reserve(100);
   for (int i = 0; i < 100; ++i) {
     vms.push_back({"vm-" + std::to_string(i), "127.0.0.1:2", "z", "r", 1});
   }
