Share the check for a group's primary and the opening of listening sockets

Read-through: the check stood four times in the broker, the opening twice in runtime/line. Behaviour is meant to stay.

--- a/src/interactive/broker_dispatch.cc
+++ b/src/interactive/broker_dispatch.cc
@@ -119,15 +119,12 @@
   if (settings.reads == freshness::kReadYourWrites) {
     minimum = std::max(minimum, of.written);
   }
-  const auto right = rights_.find(settings.group);
   for (const std::string& id : pool_.OfGroup(settings.group)) {
     member& each = *pool_.Find(id);
     const bool excluded =
         std::find(waits.excluded.begin(), waits.excluded.end(), id) !=
         waits.excluded.end();
-    const bool is_primary =
-        right != rights_.end() && right->second.member == id;
-    if (is_primary || excluded || !each.listed || each.record.draining) {
+    if (IsPrimary(each) || excluded || !each.listed || each.record.draining) {
       continue;
     }
     const bool behind = each.lagging_at &&
@@ -221,10 +218,12 @@
   const auto limits = catalogue_->groups.find(of.record.group);
   const int cap =
       limits == catalogue_->groups.end() ? 1 : limits->second.connections;
+  return pool_.Share(of, cap, IsPrimary(of));
+}
+
+bool session_broker::implementation::IsPrimary(const member& of) const {
   const auto right = rights_.find(of.record.group);
-  const bool primary =
-      right != rights_.end() && right->second.member == of.record.id;
-  return pool_.Share(of, cap, primary);
+  return right != rights_.end() && right->second.member == of.record.id;
 }
 
 void session_broker::implementation::SendOn(session& of,
--- a/src/interactive/broker_implementation.h
+++ b/src/interactive/broker_implementation.h
@@ -109,6 +109,8 @@
                      std::optional<log_position> minimum);
   void Send(link& on, std::vector<member_statement> statements);
   size_t ShareOf(const member& of) const;
+  // Whether the newest record names the member, with or without a right.
+  bool IsPrimary(const member& of) const;
 
   // --- Answers and failures of links (broker_links.cc) ---
   void OnBegun(session& of, link& on, const member_answer& answer);
--- a/src/interactive/broker_links.cc
+++ b/src/interactive/broker_links.cc
@@ -170,10 +170,7 @@
     }
     return OnRunError(of, on, answer);
   }
-  const member* const by = pool_.Find(on.member);
-  const auto right = rights_.find(by->record.group);
-  const bool by_primary =
-      right != rights_.end() && right->second.member == on.member;
+  const bool by_primary = IsPrimary(*pool_.Find(on.member));
   const bool needs_right = of.current->primary_only || of.current->as_primary;
   if (needs_right && !OnOwnPrimary(of, on)) {
     // The answer may come from a primary that was replaced meanwhile.
--- a/src/interactive/broker_timers.cc
+++ b/src/interactive/broker_timers.cc
@@ -119,13 +119,10 @@
   std::vector<link_id> late;
   for (const auto& [id, each] : pool_.links()) {
     const member& of = *pool_.Find(each.member);
-    const auto right = rights_.find(of.record.group);
-    const bool primary =
-        right != rights_.end() && right->second.member == of.record.id;
     const bool leaves = !of.listed || of.record.draining;
     const bool expired =
-        each.idle() &&
-        (now_ - each.used > options_.idle_link_limit || (leaves && !primary));
+        each.idle() && (now_ - each.used > options_.idle_link_limit ||
+                        (leaves && !IsPrimary(of)));
     const bool check_is_late =
         each.check && now_ - each.opened_at > options_.check_limit;
     const bool orphan_is_late =
--- a/src/runtime/line/caller_server.cc
+++ b/src/runtime/line/caller_server.cc
@@ -1,13 +1,11 @@
 // Connections of callers.
 #include "src/runtime/line/caller_server.h"
 
-#include <fmt/format.h>
-
 #include <utility>
 #include <vector>
 
 #include "src/runtime/line/boot_clock.h"
-#include "src/runtime/line/http_channel.h"
+#include "src/runtime/line/listen.h"
 
 namespace tarragondale::runtime {
 
@@ -31,20 +29,8 @@
       sweep_(context) {}
 
 status caller_server::Listen(const std::string& address) {
-  const tcp::endpoint endpoint = ParseEndpoint(address);
-  boost::system::error_code error;
-  acceptor_.open(endpoint.protocol(), error);
-  if (!error) {
-    acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
-    acceptor_.bind(endpoint, error);
-  }
-  if (!error) {
-    acceptor_.listen(kBacklog, error);
-  }
-  if (error) {
-    return failure{
-        result_code::kSettingInvalid,
-        fmt::format("can't listen on {}: {}", address, error.message())};
+  if (status problem = ListenOn(acceptor_, address, kBacklog)) {
+    return problem;
   }
   AcceptNext();
   SweepSilent();
--- a/src/runtime/line/readiness_server.cc
+++ b/src/runtime/line/readiness_server.cc
@@ -1,15 +1,13 @@
 // Small HTTP server by Boost.Beast.
 #include "src/runtime/line/readiness_server.h"
 
-#include <fmt/format.h>
-
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <memory>
 #include <utility>
 
 #include "platform/platform.h"
-#include "src/runtime/line/http_channel.h"
+#include "src/runtime/line/listen.h"
 
 namespace tarragondale::runtime {
 
@@ -90,20 +88,9 @@
     : context_(context), handlers_(std::move(handlers)), acceptor_(context) {}
 
 status readiness_server::Listen(const std::string& address) {
-  const tcp::endpoint endpoint = ParseEndpoint(address);
-  boost::system::error_code error;
-  acceptor_.open(endpoint.protocol(), error);
-  if (!error) {
-    acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
-    acceptor_.bind(endpoint, error);
-  }
-  if (!error) {
-    acceptor_.listen(net::socket_base::max_listen_connections, error);
-  }
-  if (error) {
-    return failure{
-        result_code::kSettingInvalid,
-        fmt::format("can't listen on {}: {}", address, error.message())};
+  if (status problem = ListenOn(acceptor_, address,
+                                net::socket_base::max_listen_connections)) {
+    return problem;
   }
   AcceptNext();
   return std::nullopt;
