Close sockets between VMs in the background; take members from other VMs; reload settings

A daemon on a VM can hang the same way. Ruled out: ports taken twice (all connections were up), a lost wake-up of ours. Change: links are closed by one background thread; nobody waits for it. ctl tests that ran side by side shared a file (FilesTest.CheckNamesEveryFault failed once under AddressSanitizer); the name holds the process id now.

A VM that the store turns away takes the list of members from another VM when that one's is newer. The watch asks by short calls while the store does not answer; the line on a silent watch is no longer written then (it came every second).

A changed file takes effect without a restart for the store's and the promotion's address, seed peers, zones, limits and times; others are named in the log.

models/record.pml: a spin model of the record and the duty; it found one more case of an unfinished change, a kept primary that does not answer.

--- a/include/tarragondale/config/settings.h
+++ b/include/tarragondale/config/settings.h
@@ -119,6 +119,13 @@
 /// @brief Reads and checks a settings file.
 settings_outcome LoadSettings(const std::string& path);
 
+/// @brief Rows of the table whose settings differ.
+std::vector<const setting_info*> ChangedSettings(const settings& before,
+                                                 const settings& after);
+
+/// @brief Copies one setting.
+void CopySetting(const setting_info& row, const settings& from, settings& to);
+
 /// @brief True for `IP:port` with port 1 to 65535; IPv6 in brackets.
 bool IsAddress(std::string_view text);
 
--- a/include/tarragondale/interactive.h
+++ b/include/tarragondale/interactive.h
@@ -194,6 +194,56 @@
   std::optional<member_status> status;   ///< After `kStatus`.
 };
 
+/// @brief Limits and intervals of `session_broker`.
+struct broker_options {
+  std::string availability_zone;
+  std::string region;
+  std::map<std::string, std::string, std::less<>> region_of_zone;
+
+  size_t max_sessions = 3'000;  ///< Bounds descriptors and memory.
+  size_t max_pending = 256;     ///< Unanswered statements of a session.
+  size_t max_values = 256;      ///< Values and prepared names of a session.
+  size_t max_waiting = 2'000;   ///< Statements that wait for a link.
+  /// Prepared statements on a link before it is reset; bounds its memory.
+  size_t max_prepared = 256;
+
+  duration zone_latency{400};             ///< Round trip within a zone.
+  duration region_latency{3'000};         ///< Round trip between zones.
+  duration other_region_latency{17'000};  ///< Round trip between regions.
+  /// Added to the cost of a member outside the zone, or the region, for the
+  /// bytes that the platform charges for.
+  duration zone_penalty{3'000};
+  duration region_penalty{15'000};
+  /// Added to reads on a primary, which has the writes to carry.
+  duration primary_penalty{8'000};
+
+  duration connect_limit = milliseconds(1'000);
+  duration member_backoff = milliseconds(300);  ///< After a failed connection.
+  duration too_many_backoff = milliseconds(200);
+  duration busy_backoff = milliseconds(25);
+  /// A member that leaves gets no new work after this.
+  duration leaving_limit = milliseconds(5'000);
+  /// A statement waits for a link or a primary for this part of its time limit.
+  double wait_part = 0.75;
+  /// A read that is not answered within this part of its time limit is sent to
+  /// another member.
+  double resend_part = 0.5;
+  int max_attempts = 4;  ///< Of one statement.
+  duration idle_link_limit = seconds(20);
+  /// A member that leaves an answer out for this long is checked by a new
+  /// connection.
+  duration silence_limit = milliseconds(350);
+  duration check_limit = milliseconds(600);  ///< Of a status call.
+  /// Error margin of observed positions, for the callers' own clocks.
+  duration staleness_margin = milliseconds(120);
+  duration position_retention = seconds(12);
+  /// A session without a link is closed in a drain only after the balancer
+  /// has seen that this VM is not ready.
+  duration drain_notice = milliseconds(2'300);
+  duration drain_transactions = milliseconds(3'000);
+  duration drain_limit = milliseconds(5'300);
+};
+
 // --- Events ---
 
 struct caller_opened {
@@ -264,6 +314,10 @@
   std::string member;
   int64_t term = 0;
 };
+/// @brief New limits and intervals, in force at once.
+struct options_changed {
+  broker_options value;
+};
 struct drain_started {};
 struct tick {};
 
@@ -282,6 +336,7 @@
                            usage_learned,
                            check_member,
                            demote_member,
+                           options_changed,
                            drain_started,
                            tick>;
 
@@ -343,57 +398,6 @@
                             decision_note,
                             drained>;
 
-/// @brief Limits and intervals of `session_broker`.
-struct broker_options {
-  std::string vm;
-  std::string availability_zone;
-  std::string region;
-  std::map<std::string, std::string, std::less<>> region_of_zone;
-
-  size_t max_sessions = 3'000;  ///< Bounds descriptors and memory.
-  size_t max_pending = 256;     ///< Unanswered statements of a session.
-  size_t max_values = 256;      ///< Values and prepared names of a session.
-  size_t max_waiting = 2'000;   ///< Statements that wait for a link.
-  /// Prepared statements on a link before it is reset; bounds its memory.
-  size_t max_prepared = 256;
-
-  duration zone_latency{400};             ///< Round trip within a zone.
-  duration region_latency{3'000};         ///< Round trip between zones.
-  duration other_region_latency{17'000};  ///< Round trip between regions.
-  /// Added to the cost of a member outside the zone, or the region, for the
-  /// bytes that the platform charges for.
-  duration zone_penalty{3'000};
-  duration region_penalty{15'000};
-  /// Added to reads on a primary, which has the writes to carry.
-  duration primary_penalty{8'000};
-
-  duration connect_limit = milliseconds(1'000);
-  duration member_backoff = milliseconds(300);  ///< After a failed connection.
-  duration too_many_backoff = milliseconds(200);
-  duration busy_backoff = milliseconds(25);
-  /// A member that leaves gets no new work after this.
-  duration leaving_limit = milliseconds(5'000);
-  /// A statement waits for a link or a primary for this part of its time limit.
-  double wait_part = 0.75;
-  /// A read that is not answered within this part of its time limit is sent to
-  /// another member.
-  double resend_part = 0.5;
-  int max_attempts = 4;  ///< Of one statement.
-  duration idle_link_limit = seconds(20);
-  /// A member that leaves an answer out for this long is checked by a new
-  /// connection.
-  duration silence_limit = milliseconds(350);
-  duration check_limit = milliseconds(600);  ///< Of a status call.
-  /// Error margin of observed positions, for the callers' own clocks.
-  duration staleness_margin = milliseconds(120);
-  duration position_retention = seconds(12);
-  /// A session without a link is closed in a drain only after the balancer
-  /// has seen that this VM is not ready.
-  duration drain_notice = milliseconds(2'300);
-  duration drain_transactions = milliseconds(2'800);
-  duration drain_limit = milliseconds(5'300);
-};
-
 /// @brief How this VM sees a member.
 struct member_health {
   std::optional<time_point> last_answer;
--- a/include/tarragondale/wire.h
+++ b/include/tarragondale/wire.h
@@ -20,7 +20,7 @@
 namespace tarragondale::wire {
 
 /// @brief Version of all messages; another version is refused.
-inline constexpr uint32_t kMessageVersion = 1;
+inline constexpr uint32_t kMessageVersion = 2;
 
 /// @brief Largest encoded message in bytes.
 inline constexpr size_t kMaxMessageBytes = 16U << 20;
@@ -257,6 +257,7 @@
   int64_t store_revision = 0;  ///< Changes up to here are known to the sender.
   bool leaving = false;  ///< The sender holds no rights any more and ends.
   int64_t configuration_version = 0;
+  int64_t directory_revision = 0;  ///< Of the sender's list of members.
   /// The sender's newest linearizable read of all primaries' records was sent
   /// this long ago; -1: never.
   int64_t confirmed_age_ms = -1;
@@ -281,6 +282,29 @@
   bool operator==(const configuration_copy&) const = default;
 };
 
+/// @brief Asks for the sender's list of members if it is newer than `revision`.
+struct directory_request {
+  int64_t revision = 0;
+
+  bool operator==(const directory_request&) const = default;
+};
+
+/// @brief One entry of the list of members as it lies in the store.
+struct directory_entry {
+  std::string key;
+  std::string value;
+
+  bool operator==(const directory_entry&) const = default;
+};
+
+/// @brief All entries of the list of members at a revision of the store.
+struct directory_copy {
+  int64_t revision = 0;
+  std::vector<directory_entry> entries;
+
+  bool operator==(const directory_copy&) const = default;
+};
+
 /// @brief All message bodies; the index in the variant is the type's number.
 /// New types go to the end.
 using message_body = std::variant<execute_request,
@@ -294,7 +318,9 @@
                                   reach_answer,
                                   fleet_digest,
                                   configuration_request,
-                                  configuration_copy>;
+                                  configuration_copy,
+                                  directory_request,
+                                  directory_copy>;
 
 struct message {
   std::string sender;  ///< Name of the VM that sent it.
--- /dev/null
+++ b/models/record.pml
@@ -0,0 +1,284 @@
+/* The record that names a group's primary, and the changes of it by the VMs
+ * that hold the duty (src/leadership/keeper_handover.cc).
+ *
+ * Two VMs claim the duty, which the store grants to one at a time; they lose
+ * it at any point and may claim it again. Calls to the store are answered,
+ * refused or have no known result; the last kind runs at any later time, or
+ * never. A promotion takes effect at once, since its sender holds the duty for
+ * longer than a call takes, and its answer may be lost. Members answer
+ * or don't at any time, and one that was promoted once says that it leads until
+ * it has heard of a higher term.
+ *
+ * Claims:
+ *  1 A record that is not moving names the member that leads.
+ *  2 A promotion happens only while the record is moving.
+ *  3 No promotion carries a lower token than an earlier one.
+ *
+ * Each mutant breaks one guard and must be rejected:
+ * mutant: NO_EPOCH_CONDITION   publications do not depend on the record's epoch
+ * mutant: NO_DUTY_CONDITION    writes do not depend on the duty, and a moving
+ *                              record is taken over without a new epoch
+ * mutant: NO_REWRITE           a moving record is taken over as it is
+ * mutant: KEEP_UNPROMOTED      the old primary is kept without a promotion
+ * mutant: TRUST_CLAIM          a member that says that it leads is believed
+ *                              although not all members answer
+ * mutant: NO_MARGIN            a holder acts until the store ends its lease
+ */
+#define VMS 2
+#define MEMBERS 3
+#define PROMOTIONS 3   /* In all. */
+#define WRITES 6       /* Changes of the record. */
+#define CLAIMS 3       /* Changes of the duty. */
+#define NOBODY 7
+
+#ifdef NO_DUTY_CONDITION
+#define NO_REWRITE
+#define TOKEN_HOLDS(t) true
+#else
+#define TOKEN_HOLDS(t) (duty_token == (t) && duty != NOBODY)
+#endif
+
+/* The store. */
+byte duty = NOBODY;
+byte duty_token = 0;
+byte epoch = 1;
+byte named = 0;
+bool moving = false;
+
+/* The platform and the members. */
+byte leads = 0;
+byte term[MEMBERS];
+bool claims[MEMBERS];
+byte last_term = 1;
+byte last_token = 0;
+byte promotions = 0;
+byte changes_of_duty = 0;
+
+/* A write of each VM that has no known result yet. */
+typedef late_write {
+  bool pending;
+  bool publishes;
+  byte if_epoch;
+  byte if_token;
+  byte member;
+};
+late_write late[VMS];
+bool acting[VMS];  /* Believes that it holds the duty. */
+
+/* Runs a write; `result` says whether the conditions held. */
+inline run_write(ends, at_epoch, at_token, to, result) {
+  result = false;
+  if
+#ifdef NO_EPOCH_CONDITION
+  :: (ends || epoch == at_epoch) && TOKEN_HOLDS(at_token) &&
+     epoch < WRITES ->
+#else
+  :: epoch == at_epoch && TOKEN_HOLDS(at_token) && epoch < WRITES ->
+#endif
+     epoch++;
+     named = to;
+     moving = !ends;
+     result = true
+  :: else
+  fi
+}
+
+inline check() {
+  assert(moving || named == leads)
+}
+
+/* A holder stops acting well before the store ends its lease. */
+active proctype clock() {
+  do
+  :: duty != NOBODY ->
+     if
+#ifdef NO_MARGIN
+     :: true -> d_step { duty = NOBODY }
+#else
+     :: !acting[duty] -> d_step { duty = NOBODY }
+#endif
+     :: acting[duty] -> acting[duty] = false
+     fi
+  od
+}
+
+/* Writes without a known result run late. */
+active proctype stragglers() {
+  byte v;
+  bool done;
+  do
+  :: atomic {
+       late[0].pending || late[1].pending ->
+       if
+       :: late[0].pending -> v = 0
+       :: late[1].pending -> v = 1
+       fi;
+       late[v].pending = false;
+       run_write(late[v].publishes, late[v].if_epoch, late[v].if_token,
+                 late[v].member, done);
+       check()
+     }
+  od
+}
+
+#define GIVE_UP goto idle
+
+active [VMS] proctype vm() {
+  byte me = _pid - 2;
+  byte token, from, from_term, my_epoch, chosen, m;
+  bool maybe_promoted, done, all_answer, known;
+  byte best;
+idle:
+  atomic { token = 0; from = 0; from_term = 0; my_epoch = 0; chosen = NOBODY;
+           m = 0; maybe_promoted = false; done = false; all_answer = false;
+           known = false; best = NOBODY;
+           if
+           :: duty == NOBODY && !acting[me] && changes_of_duty < CLAIMS ->
+              changes_of_duty++;
+              duty_token++;
+              duty = me;
+              acting[me] = true
+           :: acting[me]
+           fi;
+           token = duty_token;
+           /* What this VM has seen of the record is as new as its claim. */
+           from = named;
+           from_term = term[named];
+           my_epoch = epoch;
+           maybe_promoted = moving }
+  /* Record the move; a late write of this VM may be on the way still. */
+  atomic {
+    acting[me] && !late[me].pending ->
+    if
+#ifdef NO_REWRITE
+    :: moving -> skip
+    :: !moving ->
+#else
+    :: true ->
+#endif
+       if
+       :: run_write(false, my_epoch, token, from, done);
+          if
+          :: done -> my_epoch = epoch; check()
+          :: else -> GIVE_UP
+          fi
+       :: late[me].pending = true;
+          late[me].publishes = false;
+          late[me].if_epoch = my_epoch;
+          late[me].if_token = token;
+          late[me].member = from;
+          GIVE_UP
+       fi
+    fi
+  }
+choose:
+  /* All rights are over. Members answer or not. */
+  atomic {
+    if
+    :: !acting[me] -> GIVE_UP
+    :: acting[me]
+    fi;
+    all_answer = true;
+    chosen = NOBODY;
+    best = NOBODY;
+    m = 0;
+    do
+    :: m < MEMBERS ->
+       if
+       :: all_answer = false                    /* No answer. */
+       :: claims[m] && term[m] > from_term &&
+          (best == NOBODY || term[m] > term[best]) -> best = m
+       :: !claims[m] && m != from -> chosen = m  /* May be chosen. */
+       :: claims[m] && term[m] <= from_term -> skip
+       fi;
+       m++
+    :: else -> break
+    od;
+    if
+#ifdef TRUST_CLAIM
+    :: best != NOBODY -> chosen = best; goto publish
+#else
+    :: best != NOBODY && all_answer -> chosen = best; goto publish
+    :: best != NOBODY && !all_answer -> chosen = best
+#endif
+    :: best == NOBODY && chosen != NOBODY
+    :: best == NOBODY && chosen == NOBODY && claims[from] ->
+       chosen = from;
+       if
+#ifdef KEEP_UNPROMOTED
+       :: true -> goto publish
+#else
+       :: !maybe_promoted -> goto publish
+       :: else
+#endif
+       fi
+    :: best == NOBODY && chosen == NOBODY && !claims[from] -> GIVE_UP
+    fi;
+    m = 0
+  }
+promote:
+  atomic {
+    if
+    :: !acting[me] -> GIVE_UP
+    :: acting[me] && promotions == PROMOTIONS -> GIVE_UP
+    :: acting[me] && promotions < PROMOTIONS
+    fi;
+    assert(token >= last_token);
+    assert(moving);
+    last_token = token;
+    maybe_promoted = true;
+    if
+    :: leads != chosen ->
+       promotions++;
+       leads = chosen;
+       last_term++;
+       term[chosen] = last_term;
+       claims[chosen] = true;
+       m = 0;
+       /* Some of the others hear of it. */
+       do
+       :: m < MEMBERS && m != chosen ->
+          if
+          :: claims[m] = false
+          :: skip
+          fi;
+          m++
+       :: m < MEMBERS && m == chosen -> m++
+       :: m == MEMBERS -> break
+       od
+    :: else
+    fi;
+    m = 0;
+    if
+    :: skip           /* Confirmed by its status. */
+    :: goto promote   /* The answer was lost. */
+    :: goto choose    /* It does not run any more, says a refusal. */
+    fi
+  }
+publish:
+  atomic {
+    if
+    :: !acting[me] -> GIVE_UP
+    :: acting[me]
+    fi;
+    if
+    :: run_write(true, my_epoch, token, chosen, done);
+       if
+       :: done -> check()
+       :: else
+       fi
+    :: !late[me].pending ->
+       late[me].pending = true;
+       late[me].publishes = true;
+       late[me].if_epoch = my_epoch;
+       late[me].if_token = token;
+       late[me].member = chosen
+    fi;
+    GIVE_UP
+  }
+}
+
+init {
+  term[0] = 1;
+  claims[0] = true
+}
--- a/src/config/config_test.cc
+++ b/src/config/config_test.cc
@@ -311,6 +311,31 @@
   EXPECT_EQ(GatewayConnections(60), 29);
 }
 
+// Guards against a reload that takes settings over which need a restart, or
+// overlooks one of another type.
+TEST(SettingsChangeTest, RowsThatDifferAreNamedAndCopiedOneByOne) {
+  const settings before;
+  settings after = before;
+  EXPECT_TRUE(ChangedSettings(before, after).empty());
+  after.vm_name = "vm-2";
+  after.grace_ms = 9000;
+  after.level = log_level::kDebug;
+  after.seed_peers = {"127.0.0.1:7"};
+  settings copied = before;
+  std::vector<std::string_view> names;
+  for (const setting_info* row : ChangedSettings(before, after)) {
+    names.push_back(row->name);
+    if (row->name != "name") {
+      CopySetting(*row, after, copied);
+    }
+  }
+  EXPECT_EQ(names, (std::vector<std::string_view>{"name", "level", "seed_peers",
+                                                  "grace_ms"}));
+  EXPECT_EQ(copied.vm_name, before.vm_name);
+  copied.vm_name = after.vm_name;
+  EXPECT_EQ(copied, after);
+}
+
 TEST(KeyTest, OnlyTheGrantedTextIsAccepted) {
   const granted_key granted = *GrantKey("org");
   configuration value;
--- a/src/config/settings_table.cc
+++ b/src/config/settings_table.cc
@@ -156,6 +156,24 @@
                   : "required";
 }
 
+std::vector<const setting_info*> ChangedSettings(const settings& before,
+                                                 const settings& after) {
+  std::vector<const setting_info*> changed;
+  for (const setting_info& row : kTable) {
+    const bool same = std::visit(
+        [&](const auto member) { return before.*member == after.*member; },
+        row.member);
+    if (!same) {
+      changed.push_back(&row);
+    }
+  }
+  return changed;
+}
+
+void CopySetting(const setting_info& row, const settings& from, settings& to) {
+  std::visit([&](const auto member) { to.*member = from.*member; }, row.member);
+}
+
 bool IsAddress(std::string_view text) {
   const size_t colon = text.rfind(':');
   if (colon == std::string_view::npos || !IsPort(text.substr(colon + 1))) {
--- a/src/ctl/ctl_test.cc
+++ b/src/ctl/ctl_test.cc
@@ -1,6 +1,8 @@
 // Tests of tarragondalectl: arguments, files, and commands against scripted
 // servers.
+#include <fmt/format.h>
 #include <gtest/gtest.h>
+#include <unistd.h>
 
 #include <atomic>
 #include <filesystem>
@@ -24,9 +26,10 @@
                   "connections":16,"members":[{"name":"m","address":
                   "127.0.0.1:1","availability_zone":"z","region":"r"}]}]})";
 
-// A file in the test's own folder.
+// A file of this process alone: tests run side by side.
 std::string Write(const std::string& name, const std::string& text) {
-  std::string path = testing::TempDir() + "ctl_test_" + name;
+  std::string path =
+      fmt::format("{}ctl_test_{}_{}", testing::TempDir(), getpid(), name);
   std::ofstream(path) << text;
   return path;
 }
--- a/src/interactive/broker.cc
+++ b/src/interactive/broker.cc
@@ -256,7 +256,12 @@
   StartCheck(*of, event.term);
 }
 
-// --- Shutdown and time ---
+// --- Options, shutdown and time ---
+
+void session_broker::implementation::On(const options_changed& event) {
+  options_ = event.value;
+  dispatch_needed_ = true;
+}
 
 void session_broker::implementation::On(const drain_started& /*event*/) {
   if (!draining_since_) {
--- a/src/interactive/broker_harness.h
+++ b/src/interactive/broker_harness.h
@@ -41,7 +41,6 @@
 
   static broker_options DefaultOptions() {
     broker_options options;
-    options.vm = "vm-1";
     options.availability_zone = "z";
     options.region = "r";
     options.region_of_zone = {{"z", "r"}};
--- a/src/interactive/broker_implementation.h
+++ b/src/interactive/broker_implementation.h
@@ -65,6 +65,7 @@
   void On(const usage_learned& event);
   void On(const check_member& event);
   void On(const demote_member& event);
+  void On(const options_changed& event);
   void On(const drain_started& event);
   void On(const tick& event);
 
@@ -155,7 +156,7 @@
   void Enqueue(session& of);
   void Dequeue(session& of);
 
-  const broker_options options_;
+  broker_options options_;
   member_pool pool_;
   time_point now_;
   std::vector<action> actions_;
--- a/src/interactive/broker_test.cc
+++ b/src/interactive/broker_test.cc
@@ -513,6 +513,18 @@
   EXPECT_TRUE(answer.close);
 }
 
+// Guards against limits that a reload does not reach.
+TEST(BrokerTest, ChangedOptionsAreInForceAtOnce) {
+  broker_harness test;
+  test.Open(1, "own");
+  test.Step(drain_started{});
+  broker_options options = broker_harness::DefaultOptions();
+  options.drain_notice = milliseconds(100);
+  test.Step(options_changed{options});
+  test.Wait(milliseconds(600));
+  EXPECT_EQ(test.broker().sessions(), 0U);
+}
+
 // --- Start ---
 
 // Guards against sessions that are refused in the moments before the first
--- a/src/leadership/keeper_handover.cc
+++ b/src/leadership/keeper_handover.cc
@@ -354,8 +354,9 @@
   const interactive::member_status* best_status = nullptr;
   size_t answered = 0;
   size_t candidates = 0;
-  log_position newest;  // Of all members but the old primary.
-  bool all_known = true;
+  log_position newest;     // Of all members but the old primary.
+  bool all_known = true;   // Of all members but the old primary.
+  bool from_known = true;  // Or it is gone.
   // Of the members that say that they lead, the one of the highest term.
   const checked_status* leading = nullptr;
   std::string leader;
@@ -366,6 +367,7 @@
     const auto found = move.statuses.find(each->id);
     if (found == move.statuses.end() || found->second.at < move.state_since) {
       all_known = all_known && each->id == move.from;
+      from_known = from_known && each->id != move.from;
       continue;
     }
     const interactive::member_status& status = found->second.status;
@@ -397,7 +399,7 @@
   const duration waited =
       std::chrono::duration_cast<duration>(now_ - move.state_since);
   if (leading != nullptr) {
-    if (all_known) {
+    if (all_known && from_known) {
       move.chosen = leader;
       move.new_term = leading->status.term;
       return Fire(group, move, handover_event::kAlreadyPrimary, leader);
--- a/src/runtime/line/fleet_exchange.h
+++ b/src/runtime/line/fleet_exchange.h
@@ -27,6 +27,8 @@
   fleet_exchange(std::string self, std::vector<std::string> seeds)
       : self_(std::move(self)), seeds_(std::move(seeds)) {}
 
+  void SetSeeds(std::vector<std::string> seeds) { seeds_ = std::move(seeds); }
+
   void SetFleet(const std::vector<leadership::vm_registration>& vms);
 
   /// @brief VMs that get a digest now, at most `kFanOut` of them in turn.
@@ -64,7 +66,7 @@
   };
 
   const std::string self_;
-  const std::vector<std::string> seeds_;
+  std::vector<std::string> seeds_;
   std::map<std::string, peer> peers_;
   size_t next_target_ = 0;
 };
--- a/src/runtime/line/http_channel.cc
+++ b/src/runtime/line/http_channel.cc
@@ -149,6 +149,21 @@
   }
 }
 
+void http_channel::SetAddress(const std::string& address) {
+  if (address == address_) {
+    return;
+  }
+  address_ = address;
+  endpoint_ = ParseEndpoint(address);
+  // Connections of running calls are kept alive by those calls.
+  for (const auto& each : connections_) {
+    if (!each->busy()) {
+      each->Close();
+    }
+  }
+  connections_.clear();
+}
+
 void http_channel::Call(const platform::http_request& request,
                         duration limit,
                         callback done) {
--- a/src/runtime/line/http_channel.h
+++ b/src/runtime/line/http_channel.h
@@ -34,6 +34,9 @@
   http_channel(const http_channel&) = delete;
   http_channel& operator=(const http_channel&) = delete;
 
+  /// @brief Sends later calls to `address`; running ones go on.
+  void SetAddress(const std::string& address);
+
   /// @brief Calls `done` once, within `limit`, and never before returning.
   void Call(const platform::http_request& request,
             duration limit,
@@ -45,7 +48,7 @@
   std::shared_ptr<connection> TakeIdle();
 
   boost::asio::io_context& context_;
-  const std::string address_;
+  std::string address_;
   boost::asio::ip::tcp::endpoint endpoint_;
   std::vector<std::shared_ptr<connection>> connections_;
 };
--- a/src/runtime/line/line_daemon.cc
+++ b/src/runtime/line/line_daemon.cc
@@ -2,6 +2,7 @@
 #include <sys/stat.h>
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -18,6 +19,7 @@
 #include "src/runtime/line/http_channel.h"
 #include "src/runtime/line/log_output.h"
 #include "src/runtime/line/member_links.h"
+#include "src/runtime/line/member_listing.h"
 #include "src/runtime/line/readiness_server.h"
 #include "src/runtime/line/store_mirror.h"
 #include "src/runtime/peer_transport.h"
@@ -53,6 +55,9 @@
 constexpr int64_t kReservedFiles = 700;
 // The shutdown ends this long before the process would be killed.
 constexpr duration kGraceMargin = milliseconds(400);
+// Sessions are closed this long before the process would be killed, so that it
+// can still give its rights and registration up.
+constexpr duration kDrainMargin = milliseconds(700);
 
 uint64_t RandomNumber() {
   std::random_device device;
@@ -72,7 +77,6 @@
 
 interactive::broker_options BrokerOptions(const config::settings& settings) {
   interactive::broker_options options;
-  options.vm = settings.vm_name;
   options.availability_zone = settings.availability_zone;
   options.region = settings.region;
   for (const std::string& zone : settings.zones) {
@@ -83,9 +87,23 @@
       std::max<int64_t>(100, settings.open_files - kReservedFiles));
   options.leaving_limit = milliseconds(
       std::max<int64_t>(500, settings.leaving_ms - kLeavingMarginMs));
+  const duration grace = milliseconds(settings.grace_ms);
+  options.drain_transactions = grace / 2;
+  options.drain_limit = std::max(grace / 2, grace - kDrainMargin);
+  options.drain_notice = std::min(options.drain_notice, grace / 2);
   return options;
 }
 
+// Settings that take effect without a restart. The others name this VM, or
+// addresses that it listens on.
+bool IsLive(std::string_view name) {
+  constexpr std::array<std::string_view, 8> kNames = {
+      "store.endpoints",        "log.level",       "line.zones",
+      "line.promotion_address", "line.seed_peers", "line.leaving_ms",
+      "line.grace_ms",          "line.open_files"};
+  return std::find(kNames.begin(), kNames.end(), name) != kNames.end();
+}
+
 leadership::options KeeperOptions(const config::settings& settings) {
   leadership::options options;
   options.self = Registration(settings);
@@ -371,13 +389,14 @@
   }
 
   void OnLoaded(const std::vector<store::keyspace::item>& items) {
-    members_.clear();
+    loaded_ = true;
+    listing_.Load(items, mirror_.revision());
     leadership::items_loaded loaded;
     for (const store::keyspace::item& item : items) {
       if (item.key.starts_with(leadership::kKeyPrefix)) {
         loaded.items.push_back(item);
-      } else {
-        SeeForeign(item);
+      } else if (item.key == platform::kConfigurationKey) {
+        SeeConfiguration(item.value, "the store");
       }
     }
     PublishMembers();
@@ -392,40 +411,19 @@
             leadership::item_seen{change.now, change.removed}));
         continue;
       }
-      members_changed = change.now.key.starts_with(platform::kMemberPrefix) ||
-                        members_changed;
-      if (change.removed) {
-        members_.erase(change.now.key.substr(platform::kMemberPrefix.size()));
-      } else {
-        SeeForeign(change.now);
+      if (!change.removed && change.now.key == platform::kConfigurationKey) {
+        SeeConfiguration(change.now.value, "the store");
       }
+      members_changed = listing_.Apply(change) || members_changed;
     }
     if (members_changed) {
       PublishMembers();
     }
   }
 
-  // A key that the operator or a member writes.
-  void SeeForeign(const store::keyspace::item& item) {
-    if (item.key == platform::kConfigurationKey) {
-      return SeeConfiguration(item.value, "the store");
-    }
-    if (!item.key.starts_with(platform::kMemberPrefix)) {
-      return;
-    }
-    auto record = platform::DecodeMember(item.key, item.value);
-    if (record) {
-      members_[record->id] = std::move(*record);
-    } else {
-      members_.erase(item.key.substr(platform::kMemberPrefix.size()));
-      Log(log_level::kWarning, log_part::kStore, "{}; it names no member.",
-          record.error().reason);
-    }
-  }
-
   void PublishMembers() {
-    auto directory =
-        std::make_shared<const interactive::member_directory>(members_);
+    auto directory = std::make_shared<const interactive::member_directory>(
+        listing_.members());
     Post(interactive::event(interactive::members_changed{directory}));
     Post(leadership::event(leadership::members_changed{directory}));
   }
@@ -481,10 +479,29 @@
       } else if (const auto* copy =
                      std::get_if<wire::configuration_copy>(&message->body)) {
         SeeConfiguration(copy->value, "VM " + message->sender);
+      } else if (const auto* request =
+                     std::get_if<wire::directory_request>(&message->body)) {
+        if (listing_.revision() > request->revision) {
+          SendTo(message->sender, listing_.Copy());
+        }
+      } else if (const auto* copy =
+                     std::get_if<wire::directory_copy>(&message->body)) {
+        SeeListing(*copy, message->sender);
       }
     }
   }
 
+  // The store's own answers are newer, so copies count only without them.
+  void SeeListing(const wire::directory_copy& copy, const std::string& vm) {
+    const int64_t known = listing_.revision();
+    if (!mirror_.reachable() && listing_.Take(copy)) {
+      Log(log_level::kInfo, log_part::kStore,
+          "the list of members at revision {} comes from VM {}, was {}.",
+          copy.revision, vm, known);
+      PublishMembers();
+    }
+  }
+
   void OnDigest(const std::string& vm, const wire::fleet_digest& digest) {
     const time_point now = BootNow();
     const auto taken = exchange_.Take(vm, digest, now);
@@ -511,6 +528,11 @@
       next_copy_ = now + kCopyInterval;
       SendTo(vm, wire::configuration_request{own_version});
     }
+    if (!mirror_.reachable() && now >= next_listing_ &&
+        digest.directory_revision > listing_.revision()) {
+      next_listing_ = now + kCopyInterval;
+      SendTo(vm, wire::directory_request{listing_.revision()});
+    }
     Post(leadership::event(
         leadership::digest_arrived{vm, digest, taken->echo_sent}));
   }
@@ -548,6 +570,7 @@
     digest.leaving = keeper_.leaving();
     digest.store_revision = mirror_.revision();
     digest.configuration_version = catalogue_ ? catalogue_->version : 0;
+    digest.directory_revision = listing_.revision();
     if (const auto confirmed = keeper_.confirmed_at()) {
       digest.confirmed_age_ms = AgeMs(now, *confirmed);
     }
@@ -585,8 +608,11 @@
 
   // --- Readiness, settings, shutdown ---
 
+  // A VM that the store never answered has no registration and so no right to
+  // a primary; others serve callers better.
   bool IsReady() const {
-    return catalogue_ && !members_.empty() && !draining_since_;
+    return loaded_ && catalogue_ && !listing_.members().empty() &&
+           !draining_since_;
   }
 
   std::string MetricsText() {
@@ -685,11 +711,31 @@
           outcome.errors.front().reason);
       return;
     }
-    const bool changed = outcome.value != settings_;
-    settings_ = outcome.value;
+    std::string in_force;
+    std::string after_restart;
+    for (const config::setting_info* row :
+         config::ChangedSettings(settings_, outcome.value)) {
+      const std::string name = fmt::format("{}.{}", row->section, row->name);
+      if (IsLive(name)) {
+        config::CopySetting(*row, outcome.value, settings_);
+        in_force += " " + name;
+      } else {
+        after_restart += " " + name;
+      }
+    }
+    Log(log_level::kInfo, log_part::kConfig,
+        "settings are reloaded ({}); in force:{}; only after a restart:{}.",
+        why, in_force.empty() ? " no change" : in_force,
+        after_restart.empty() ? " none" : after_restart);
+    if (in_force.empty()) {
+      return;
+    }
     SetLogLevel(settings_.level);
-    Log(log_level::kInfo, log_part::kConfig, "settings are reloaded ({}): {}.",
-        why, changed ? "they changed" : "no change");
+    store_channel_.SetAddress(settings_.store_endpoints.front());
+    promotion_channel_.SetAddress(settings_.promotion_address);
+    exchange_.SetSeeds(settings_.seed_peers);
+    Post(interactive::event(
+        interactive::options_changed{BrokerOptions(settings_)}));
   }
 
   net::io_context context_{1};
@@ -717,14 +763,16 @@
 
   std::deque<any_event> inbox_;
   bool running_ = false;
-  interactive::member_directory members_;
+  bool loaded_ = false;  ///< The store's keys were read once.
+  member_listing listing_;
   interactive::catalogue_ptr catalogue_;
   std::string configuration_;  ///< As it lies in the store.
   time_point next_digest_;
   int quick_digests_ = kQuickDigests;
   time_point next_log_;
   time_point next_maintain_;
-  time_point next_copy_;
+  time_point next_copy_;     ///< No other configuration is asked for before.
+  time_point next_listing_;  ///< No other list of members is asked for before.
   std::optional<time_point> draining_since_;
   bool drained_ = false;
 };
--- a/src/runtime/line/store_mirror.cc
+++ b/src/runtime/line/store_mirror.cc
@@ -45,7 +45,8 @@
   check_timer_.async_wait(
       [this, awaited = expected_](boost::system::error_code error) {
         checking_ = false;
-        if (!error && !stopped_ && revision_ < awaited) {
+        // While the store does not answer, its return is awaited anyway.
+        if (!error && !stopped_ && reachable_ && revision_ < awaited) {
           Log(log_level::kWarning, log_part::kStore,
               "the watch is silent at revision {}, the store is at {}; all is "
               "loaded anew.",
@@ -99,10 +100,12 @@
 }
 
 void store_mirror::Watch() {
-  const store::keyspace::call call =
-      store::keyspace::watch_call{"", revision_, kWatchWait};
+  // A store that did not answer is asked by short calls: a long one that is
+  // lost would hide its return.
+  const store::keyspace::call call = store::keyspace::watch_call{
+      "", revision_, reachable_ ? kWatchWait : milliseconds(1)};
   channel_.Call(
-      platform::EncodeStoreCall(call), kWatchLimit,
+      platform::EncodeStoreCall(call), reachable_ ? kWatchLimit : kLoadLimit,
       [this, call, generation = generation_](const http_outcome& outcome) {
         if (stopped_ || generation != generation_) {
           return;
--- a/src/runtime/line/store_mirror.h
+++ b/src/runtime/line/store_mirror.h
@@ -40,6 +40,9 @@
   /// @brief Changes up to this revision are known.
   int64_t revision() const { return revision_; }
 
+  /// @brief Whether the last call was answered.
+  bool reachable() const { return reachable_; }
+
  private:
   void Load();
   void LoadPage(std::string after);
--- a/src/runtime/peer_transport.cc
+++ b/src/runtime/peer_transport.cc
@@ -7,7 +7,6 @@
 
 #include <arpa/inet.h>
 
-#include <future>
 #include <utility>
 #include <vector>
 
@@ -21,7 +20,7 @@
 constexpr nng_duration kReconnectMinMs = 20;
 constexpr nng_duration kReconnectMaxMs = 500;
 // nng 1.5.2 now and then waits for ever for a pipe of a socket that is closed
-// (seen under load); a shutdown must not wait for it.
+// (seen under load, with all its task threads idle); nothing may wait for it.
 constexpr duration kCloseLimit = seconds(2);
 
 std::string Url(std::string_view address) {
@@ -114,8 +113,7 @@
 }
 
 void peer_transport::Maintain(time_point now, duration limit, duration idle) {
-  std::vector<link_ptr> closed;
-  std::unique_lock lock(mutex_);
+  const std::lock_guard lock(mutex_);
   for (auto next = links_.begin(); next != links_.end();) {
     link& link = *next->second;
     const bool unresponsive =
@@ -130,16 +128,8 @@
     if (unresponsive || never_up) {
       metrics_.relinked.fetch_add(1, std::memory_order_relaxed);
     }
-    closed.push_back(std::move(next->second));
     next = links_.erase(next);
   }
-  lock.unlock();
-  if (!closed.empty()) {
-    // Closing a socket may block; the caller's thread must not.
-    std::thread([closed = std::move(closed)]() mutable {
-      closed.clear();
-    }).detach();
-  }
 }
 
 void peer_transport::Stop() {
@@ -149,32 +139,26 @@
   if (thread_.joinable()) {
     thread_.join();
   }
-  std::vector<link_ptr> closed;
   {
     const std::lock_guard lock(mutex_);
-    for (auto& [vm, link] : links_) {
-      closed.push_back(std::move(link));
-    }
     links_.clear();
   }
-  const auto done = std::make_shared<std::promise<void>>();
-  std::future<void> finished = done->get_future();
-  std::thread([pull = pull_, closed = std::move(closed), done]() mutable {
-    if (pull >= 0) {
-      nng_close(nng_socket{static_cast<uint32_t>(pull)});
-    }
-    closed.clear();
-    done->set_value();
-  }).detach();
-  if (finished.wait_for(kCloseLimit) != std::future_status::ready) {
+  if (pull_ >= 0) {
+    closer_.Add(
+        [pull = static_cast<uint32_t>(pull_)] { nng_close(nng_socket{pull}); });
+  }
+  if (!closer_.Wait(kCloseLimit)) {
     Log(log_level::kWarning, log_part::kPeer,
         "sockets did not close within {} ms and are left to the system.",
         ToMs(kCloseLimit));
   }
 }
 
-peer_transport::link_ptr peer_transport::Dial(std::string_view address) {
-  auto created = std::make_shared<link>();
+peer_transport::link_ptr peer_transport::Dial(std::string_view address) const {
+  // Whoever drops a link must not wait until its socket is closed.
+  const link_ptr created(new link, [closer = closer_](link* unused) {
+    closer.Add([unused] { delete unused; });
+  });
   created->address = std::string(address);
   created->dialled = std::chrono::steady_clock::now();
   if (nng_push0_open(&created->socket) != 0) {
--- a/src/runtime/peer_transport.h
+++ b/src/runtime/peer_transport.h
@@ -13,6 +13,7 @@
 #include <string_view>
 #include <thread>
 
+#include "src/runtime/background_closer.h"
 #include "tarragondale/base.h"
 #include "tarragondale/wire.h"
 
@@ -68,13 +69,14 @@
   struct link;
   using link_ptr = std::shared_ptr<link>;
 
-  static link_ptr Dial(std::string_view address);
+  link_ptr Dial(std::string_view address) const;
   void ReceiveLoop();
   void OnMessage(std::string_view bytes);
   bool SendBytes(link& link, const std::string& bytes);
 
   const std::string self_;
   const receiver receive_;
+  const background_closer closer_;
   peer_metrics metrics_;
   std::mutex mutex_;
   std::map<std::string, link_ptr, std::less<>> links_;  // Guarded by mutex_.
--- a/src/wire/fields.h
+++ b/src/wire/fields.h
@@ -193,6 +193,7 @@
                  &fleet_digest::store_revision,
                  &fleet_digest::leaving,
                  &fleet_digest::configuration_version,
+                 &fleet_digest::directory_revision,
                  &fleet_digest::confirmed_age_ms,
                  &fleet_digest::primaries,
                  &fleet_digest::usage);
@@ -209,6 +210,23 @@
       FieldTable(&configuration_copy::version, &configuration_copy::value);
 };
 
+template <>
+struct fields<directory_request> {
+  static constexpr auto kTable = FieldTable(&directory_request::revision);
+};
+
+template <>
+struct fields<directory_entry> {
+  static constexpr auto kTable =
+      FieldTable(&directory_entry::key, &directory_entry::value);
+};
+
+template <>
+struct fields<directory_copy> {
+  static constexpr auto kTable =
+      FieldTable(&directory_copy::revision, &directory_copy::entries);
+};
+
 /// @brief Highest valid value of an enum in a message.
 template <typename E>
 inline constexpr int kLastEnumerator = 0;
--- a/src/wire/wire_test.cc
+++ b/src/wire/wire_test.cc
@@ -34,6 +34,7 @@
   digest.incarnation = 1700000000000;
   digest.peer_address = "127.0.0.1:1";
   digest.configuration_version = 7;
+  digest.directory_revision = 528;
   digest.confirmed_age_ms = 40;
   digest.store_revision = 530;
   digest.leaving = true;
@@ -81,7 +82,9 @@
           {"vm-1", reach_answer{4, "orders", report}},
           {"vm-1", FullDigest()},
           {"vm-1", configuration_request{7}},
-          {"vm-1", configuration_copy{8, "{\"version\":8}"}}};
+          {"vm-1", configuration_copy{8, "{\"version\":8}"}},
+          {"vm-1", directory_request{21}},
+          {"vm-1", directory_copy{22, {{"members/i-7", "{}"}}}}};
 }
 
 // Guards against a member that is missing from a field table or out of order.
@@ -127,7 +130,7 @@
 // Guards against reading a body with the layout of another version.
 TEST(WireTest, AnotherVersionIsNamed) {
   std::string bytes = Encode(OneOfEachType().front());
-  bytes[1] = 2;
+  bytes[1] = kMessageVersion + 1;
   const auto decoded = Decode(bytes);
   ASSERT_FALSE(decoded);
   EXPECT_EQ(decoded.error().code, result_code::kMessageVersionUnknown);
