--- a/src/leadership/keeper_test.cc
+++ b/src/leadership/keeper_test.cc
@@ -69,6 +69,113 @@
   EXPECT_TRUE(test.violations().empty());
 }
 
+// Guards against a promotion while a VM extends its right through others
+// because it has not heard of the VM that changes the primary: that one is new.
+TEST(KeeperTest, NewVmWaitsForAVmThatMayNotKnowIt) {
+  keeper_simulation test(12, 2);
+  test.Run(seconds(5));
+  auto& changes = *test.vms()[0];
+  auto& unheard = *test.vms()[1];
+  test.Kill(changes);
+  unheard.peers_cut = true;
+  unheard.store_cut = true;
+  test.Run(seconds(4));
+  test.KillMember("a");
+  test.Start(changes);
+  test.Run(seconds(10));
+  EXPECT_EQ(test.promotions(), 0);
+  test.Run(seconds(9));
+  EXPECT_EQ(test.promotions(), 1);
+}
+
+// Drives one keeper by hand.
+struct single_keeper {
+  single_keeper() {
+    options chosen;
+    chosen.self = {"vm-1", "127.0.0.1:1", "z", "r", 50};
+    chosen.registration_interval = milliseconds(400);
+    mind = std::make_unique<keeper>(
+        chosen, broker_view{[](std::string_view, int64_t) { return size_t{0}; },
+                            [](std::string_view) {
+                              return interactive::member_health{};
+                            }});
+  }
+
+  void Step(const event& input) {
+    for (action& each : mind->Step(now, input)) {
+      if (auto* call = std::get_if<call_store>(&each)) {
+        calls.push_back({std::move(*call), now});
+      } else if (auto* rights = std::get_if<set_rights>(&each)) {
+        right = rights->by_group["g"];
+      }
+    }
+  }
+
+  // Answers the oldest call of a type.
+  template <typename Call>
+  void Answer(store::keyspace::reply reply) {
+    const auto found =
+        std::find_if(calls.begin(), calls.end(), [](const auto& each) {
+          return std::holds_alternative<Call>(each.first.call);
+        });
+    ASSERT_NE(found, calls.end());
+    const store_answered answered{found->first.tag, found->second,
+                                  std::move(reply)};
+    calls.erase(found);
+    Step(answered);
+  }
+
+  void Register(int64_t lease) {
+    using store::keyspace::call_status;
+    Answer<store::keyspace::grant_call>(
+        {.status = call_status::kDone, .lease = lease});
+    Answer<store::keyspace::transaction_call>(
+        {.status = call_status::kDone, .revision = lease});
+  }
+
+  std::unique_ptr<keeper> mind;
+  time_point now = TimeFromMs(1'000);
+  std::vector<std::pair<call_store, time_point>> calls;
+  interactive::primary_right right;
+};
+
+// Guards against a right from a read that was sent before this VM was
+// registered: the VM that changes the primary did not wait for it.
+TEST(KeeperTest, ReadFromBeforeTheRegistrationGivesNoRight) {
+  using store::keyspace::call_status;
+  single_keeper test;
+  test.Step(tick{});
+  test.Register(1);
+  const primary_record record{"a", 1, false, "vm-2/1", 9};
+  const store::keyspace::reply read{
+      .status = call_status::kDone,
+      .items = {{PrimaryKey("g"), EncodePrimary(record), 9}}};
+  const auto reads_of = [&] {
+    return std::count_if(
+        test.calls.begin(), test.calls.end(), [](const auto& each) {
+          return std::holds_alternative<store::keyspace::range_call>(
+              each.first.call);
+        });
+  };
+  ASSERT_EQ(reads_of(), 1);
+  // The registration ends and is made anew while the read is on its way.
+  test.now += milliseconds(500);
+  test.Step(tick{});
+  // The call for the duty stays unanswered.
+  std::erase_if(test.calls, [](const auto& each) {
+    return std::holds_alternative<store::keyspace::grant_call>(each.first.call);
+  });
+  test.Answer<store::keyspace::renew_call>({.status = call_status::kNotFound});
+  test.now += milliseconds(10);
+  test.Register(2);
+  test.Answer<store::keyspace::range_call>(read);
+  EXPECT_LE(test.right.until, test.now);
+  test.now += milliseconds(1'100);
+  test.Step(tick{});
+  test.Answer<store::keyspace::range_call>(read);
+  EXPECT_GT(test.right.until, test.now);
+}
+
 // Guards against a stop of all primary work because the store is away.
 TEST(KeeperTest, RightsOutlastAnOutageOfTheStore) {
   keeper_simulation test(5);
