Wait for rights that were extended before a VM heard of the one with the duty

A VM that does not know the VM with the duty may extend its right by 2.4 s through others; when it then hears of it, that one counted the right as ended 3 s after the record was written. A digest of before the change, delayed for two seconds, leaves the right standing for up to 2.1 s after the promotion. Change: the wait also covers an extension's life from the first digest that echoes. Ruled out: the newcomer's wait, which ends with the first echo.

--- a/src/leadership/keeper.cc
+++ b/src/leadership/keeper.cc
@@ -196,10 +196,12 @@
   }
   if (event.digest.incarnation > from.digest.incarnation) {
     from.made_after.reset();
+    from.echoes_since.reset();
   }
   from.digest = event.digest;
   from.heard = now_;
   if (event.echo_sent) {
+    from.echoes_since = from.echoes_since.value_or(now_);
     from.made_after =
         std::max(from.made_after.value_or(*event.echo_sent), *event.echo_sent);
   }
--- a/src/leadership/keeper_handover.cc
+++ b/src/leadership/keeper_handover.cc
@@ -323,14 +323,19 @@
 }
 
 // A VM that has received digests of this one extends no right without hearing
-// it. One that has not may not know of this VM, until it must have read its
+// it; what it had extended before lasts for an extension's life at most. One
+// that has not may not know of this VM, until it must have read its
 // registration.
 bool keeper::implementation::RightEnded(const std::string& name,
                                         const handover& move) const {
   time_point end = move.recorded + options_.right_lifetime;
   const auto heard = peers_.find(name);
-  if (heard == peers_.end() || !heard->second.made_after) {
-    end = std::max(end, registered_at_ + options_.registration_lifetime);
+  const time_point known = registered_at_ + options_.registration_lifetime;
+  if (heard == peers_.end() || !heard->second.echoes_since) {
+    end = std::max(end, known);
+  } else {
+    end = std::max(end, std::min(known, *heard->second.echoes_since +
+                                            options_.extension_lifetime));
   }
   return now_ >= end;
 }
--- a/src/leadership/keeper_implementation.h
+++ b/src/leadership/keeper_implementation.h
@@ -70,6 +70,8 @@
     time_point heard;
     /// The digest was made after this; empty: this VM's were never received.
     std::optional<time_point> made_after;
+    /// When the first digest came that echoed one of this VM's.
+    std::optional<time_point> echoes_since;
   };
 
   // A right that is being given up.
--- a/src/leadership/keeper_test.cc
+++ b/src/leadership/keeper_test.cc
@@ -90,23 +90,72 @@
 
 // Drives one keeper by hand.
 struct single_keeper {
-  single_keeper() {
+  explicit single_keeper(bool primary_fails = false) {
     options chosen;
     chosen.self = {"vm-1", "127.0.0.1:1", "z", "r", 50};
     chosen.registration_interval = milliseconds(400);
     mind = std::make_unique<keeper>(
         chosen, broker_view{[](std::string_view, int64_t) { return size_t{0}; },
-                            [](std::string_view) {
-                              return interactive::member_health{};
+                            [primary_fails](std::string_view id) {
+                              interactive::member_health health;
+                              if (primary_fails && id == "a") {
+                                health.failing_since = time_point();
+                                health.failures = 3;
+                              }
+                              return health;
                             }});
   }
 
+  // Answers all calls as a store would in which `items` lie, and checks of
+  // members; the time goes on in steps.
+  void Run(duration span) {
+    for (const time_point end = now + span; now < end;
+         now += milliseconds(20)) {
+      Step(tick{});
+      while (!calls.empty()) {
+        const auto [call, sent] = std::move(calls.front());
+        calls.erase(calls.begin());
+        Step(store_answered{call.tag, sent, Execute(call.call)});
+      }
+      for (const std::string& id : std::exchange(checks, {})) {
+        if (id == "b") {
+          Step(member_checked{id,
+                              interactive::member_status{false, 1, {1, 100}}});
+        }
+      }
+    }
+  }
+
+  store::keyspace::reply Execute(const store::keyspace::call& call) {
+    store::keyspace::reply reply{.status = store::keyspace::call_status::kDone,
+                                 .lease = 1};
+    if (const auto* read = std::get_if<store::keyspace::range_call>(&call)) {
+      for (const auto& [key, value] : items) {
+        if (key.starts_with(read->prefix)) {
+          reply.items.push_back(value);
+        }
+      }
+    } else if (const auto* write =
+                   std::get_if<store::keyspace::transaction_call>(&call)) {
+      reply.revision = ++revision;
+      for (store::keyspace::item each : write->writes) {
+        each.revision = revision;
+        items[each.key] = each;
+      }
+    }
+    return reply;
+  }
+
   void Step(const event& input) {
     for (action& each : mind->Step(now, input)) {
       if (auto* call = std::get_if<call_store>(&each)) {
         calls.push_back({std::move(*call), now});
       } else if (auto* rights = std::get_if<set_rights>(&each)) {
         right = rights->by_group["g"];
+      } else if (auto* check = std::get_if<check_member>(&each)) {
+        checks.push_back(check->member);
+      } else if (std::holds_alternative<promote_member>(each)) {
+        ++promotions;
       }
     }
   }
@@ -136,9 +185,45 @@
   std::unique_ptr<keeper> mind;
   time_point now = TimeFromMs(1'000);
   std::vector<std::pair<call_store, time_point>> calls;
+  std::vector<std::string> checks;
+  std::map<std::string, store::keyspace::item> items;
+  int64_t revision = 20;
+  int promotions = 0;
   interactive::primary_right right;
 };
 
+// Guards against a promotion while a VM still has the right that it extended
+// before it heard of the VM that changes the primary (models/rights.pml).
+TEST(KeeperTest, RightExtendedBeforeTheFirstDigestRunsOut) {
+  single_keeper test(true);
+  auto catalogue = std::make_shared<interactive::catalogue>();
+  catalogue->groups["g"] = {"g", 16, 0};
+  test.Step(catalogue_changed{catalogue});
+  auto directory = std::make_shared<interactive::member_directory>();
+  for (const char* id : {"a", "b"}) {
+    (*directory)[id] = {id, "g", "127.0.0.1:1", "z", 2, false, *id == 'a', 1};
+  }
+  test.Step(members_changed{directory});
+  const vm_registration other{"vm-2", "127.0.0.1:2", "z", "r", 7};
+  test.items[VmKey("vm-2")] = {VmKey("vm-2"), EncodeVm(other), 3, 9};
+  test.items[PrimaryKey("g")] = {PrimaryKey("g"),
+                                 EncodePrimary({"a", 1, false, "vm-2/1"}), 4};
+  test.Run(milliseconds(2'800));
+  ASSERT_TRUE(DecodePrimary(test.items[PrimaryKey("g")])->moving);
+  wire::fleet_digest digest;
+  digest.incarnation = 7;
+  wire::primary_state state;
+  state.group = "g";
+  state.member = "a";
+  state.epoch = 4;
+  digest.primaries.push_back(state);
+  test.Step(digest_arrived{"vm-2", digest, test.now});
+  test.Run(milliseconds(2'000));
+  EXPECT_EQ(test.promotions, 0);
+  test.Run(milliseconds(1'500));
+  EXPECT_EQ(test.promotions, 1);
+}
+
 // Guards against a right from a read that was sent before this VM was
 // registered: the VM that changes the primary did not wait for it.
 TEST(KeeperTest, ReadFromBeforeTheRegistrationGivesNoRight) {
