Parse addresses, accept connections and draw random numbers in one place each

IP:port was taken apart in six places with small differences (brackets of IPv6, trailing characters); base::SplitAddress and ParseEndpoint serve all. Three accept loops with a pause after a failure are one listener; the readiness server swallowed the failure and logs it now. RandomNumber and the Unix time of a process's start stood in both daemons.

--- a/include/tarragondale/base.h
+++ b/include/tarragondale/base.h
@@ -1,8 +1,10 @@
-// Public header of the base library: result codes, ids, time, results with a
-// reason, logging, digests and the bounded ring that joins threads.
+// Public header of the base library: result codes, ids, addresses, time,
+// results with a reason, logging, digests and the bounded ring that joins
+// threads.
 #ifndef TARRAGONDALE_BASE_H_
 #define TARRAGONDALE_BASE_H_
 
+#include "tarragondale/base/address.h"
 #include "tarragondale/base/digest.h"
 #include "tarragondale/base/ids.h"
 #include "tarragondale/base/log.h"
--- a/src/base/base_test.cc
+++ b/src/base/base_test.cc
@@ -162,5 +162,20 @@
   EXPECT_EQ(LogPartName(log_part::kStandin), "standin");
 }
 
+// Guards against addresses that one part of the program takes and another
+// refuses.
+TEST(AddressTest, HostAndPortAreSplit) {
+  const auto plain = SplitAddress("10.1.0.2:8465");
+  ASSERT_TRUE(plain);
+  EXPECT_EQ(plain->host, "10.1.0.2");
+  EXPECT_EQ(plain->port, 8465);
+  EXPECT_EQ(SplitAddress("[::1]:80")->host, "::1");
+  EXPECT_EQ(SplitAddress("10.1.0.2:0")->port, 0);
+  for (const char* bad : {"", "10.1.0.2", "10.1.0.2:", "10.1.0.2:x",
+                          "10.1.0.2:80x", "10.1.0.2:65536", "10.1.0.2:-1"}) {
+    EXPECT_FALSE(SplitAddress(bad)) << bad;
+  }
+}
+
 }  // namespace
 }  // namespace tarragondale
--- a/src/config/settings_table.cc
+++ b/src/config/settings_table.cc
@@ -4,8 +4,6 @@
 
 #include <algorithm>
 #include <array>
-#include <charconv>
-#include <limits>
 
 #include "tarragondale/config/settings.h"
 
@@ -94,14 +92,6 @@
 constexpr std::array<std::string_view, 4> kLevels = {"debug", "info", "warning",
                                                      "error"};
 
-bool IsPort(std::string_view text) {
-  int port = 0;
-  const auto [end, error] =
-      std::from_chars(text.data(), text.data() + text.size(), port);
-  return error == std::errc() && end == text.data() + text.size() &&
-         port >= 1 && port <= std::numeric_limits<uint16_t>::max();
-}
-
 }  // namespace
 
 std::span<const setting_info> SettingsTable() {
@@ -175,17 +165,13 @@
 }
 
 bool IsAddress(std::string_view text) {
-  const size_t colon = text.rfind(':');
-  if (colon == std::string_view::npos || !IsPort(text.substr(colon + 1))) {
+  const auto parts = SplitAddress(text);
+  if (!parts || parts->port == 0) {
     return false;
   }
-  std::string host(text.substr(0, colon));
   std::array<unsigned char, sizeof(in6_addr)> bytes{};
-  if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
-    host = host.substr(1, host.size() - 2);
-    return inet_pton(AF_INET6, host.c_str(), bytes.data()) == 1;
-  }
-  return inet_pton(AF_INET, host.c_str(), bytes.data()) == 1;
+  const int family = text.front() == '[' ? AF_INET6 : AF_INET;
+  return inet_pton(family, parts->host.c_str(), bytes.data()) == 1;
 }
 
 result<http_url> ParseHttpUrl(std::string_view text) {
--- a/src/runtime/daemon.cc
+++ b/src/runtime/daemon.cc
@@ -4,7 +4,6 @@
 #include <atomic>
 #include <chrono>
 #include <mutex>
-#include <random>
 #include <utility>
 
 #include "src/runtime/control_duty.h"
@@ -13,6 +12,7 @@
 #include "src/runtime/http_server.h"
 #include "src/runtime/metrics_text.h"
 #include "src/runtime/peer_transport.h"
+#include "src/runtime/system_sources.h"
 #include "src/runtime/vm_list_reader.h"
 #include "tarragondale/entry.h"
 #include "tarragondale/pool.h"
@@ -38,19 +38,6 @@
 // other VMs learn meanwhile that this VM leaves.
 constexpr duration kDrainGrace = seconds(2);
 
-uint64_t RandomNumber() {
-  std::random_device device;
-  return (static_cast<uint64_t>(device()) << 32) | device();
-}
-
-// Later processes of one name get a higher incarnation.
-uint64_t IncarnationNow() {
-  return static_cast<uint64_t>(
-      std::chrono::duration_cast<milliseconds>(
-          std::chrono::system_clock::now().time_since_epoch())
-          .count());
-}
-
 std::string WithPort(const std::string& address, uint16_t port) {
   return address.substr(0, address.rfind(':') + 1) + std::to_string(port);
 }
@@ -411,7 +398,7 @@
     self.http_address = WithPort(settings_.http_address, http_.port());
     self.availability_zone = settings_.availability_zone;
     self.region = settings_.region;
-    self.incarnation = IncarnationNow();
+    self.incarnation = static_cast<uint64_t>(UnixMsNow());
     return {.self = std::move(self),
             .store_region = settings_.store_region,
             .seed = RandomNumber()};
--- a/src/runtime/database_connection.cc
+++ b/src/runtime/database_connection.cc
@@ -17,24 +17,6 @@
 // A path that can't exist keeps libpq from reading the user's password file.
 constexpr char kNoPasswordFile[] = "/dev/null/absent";
 
-struct endpoint {
-  std::string host;
-  std::string port;
-};
-
-// Splits IP:port; the address of IPv6 is in brackets.
-endpoint SplitAddress(const std::string& address) {
-  const size_t colon = address.rfind(':');
-  if (colon == std::string::npos) {
-    return {};
-  }
-  std::string host = address.substr(0, colon);
-  if (host.size() >= 2 && host.front() == '[' && host.back() == ']') {
-    host = host.substr(1, host.size() - 2);
-  }
-  return {std::move(host), address.substr(colon + 1)};
-}
-
 void DropNotice(void* /*context*/, const PGresult* /*notice*/) {}
 
 std::string Field(const PGresult* result, int field) {
@@ -85,17 +67,18 @@
 void database_connection::Open(const std::string& address,
                                const std::string& database,
                                const std::string& user) {
-  const endpoint target = SplitAddress(address);
-  if (target.host.empty() || target.port.empty()) {
+  const auto target = SplitAddress(address);
+  if (!target || target->host.empty()) {
     Lose("the address is not IP:port");
     return;
   }
+  const std::string port = std::to_string(target->port);
   // `hostaddr` avoids name resolution, which would block the thread.
   const std::array<const char*, 10> names = {
       "hostaddr",   "port",     "dbname",          "user",    "sslmode",
       "gssencmode", "passfile", "client_encoding", "options", nullptr};
-  const std::array<const char*, 10> values = {target.host.c_str(),
-                                              target.port.c_str(),
+  const std::array<const char*, 10> values = {target->host.c_str(),
+                                              port.c_str(),
                                               database.c_str(),
                                               user.c_str(),
                                               "disable",
--- a/src/runtime/http_server.cc
+++ b/src/runtime/http_server.cc
@@ -4,10 +4,10 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
 
-#include <charconv>
 #include <utility>
 
 #include "src/runtime/http_session.h"
+#include "src/runtime/listener.h"
 
 namespace tarragondale::runtime {
 namespace {
@@ -20,25 +20,6 @@
 // has no free file descriptor.
 constexpr duration kAcceptRetry = milliseconds(100);
 
-result<tcp::endpoint> ParseEndpoint(const std::string& address) {
-  const size_t colon = address.rfind(':');
-  error_code error;
-  uint16_t port = 0;
-  if (colon != std::string::npos) {
-    const char* const end = address.data() + address.size();
-    const auto [stop, problem] =
-        std::from_chars(address.data() + colon + 1, end, port);
-    if (problem == std::errc() && stop == end) {
-      const auto ip = asio::ip::make_address(address.substr(0, colon), error);
-      if (!error) {
-        return tcp::endpoint(ip, port);
-      }
-    }
-  }
-  return failure{result_code::kSettingInvalid,
-                 "the address " + address + " is not IP:port"};
-}
-
 }  // namespace
 
 class http_server::impl {
@@ -49,40 +30,29 @@
         shared_{.options = options_,
                 .handlers = handlers_,
                 .metrics = metrics_},
-        acceptor_(context_),
-        retry_timer_(context_),
+        listener_(
+            context_,
+            log_part::kHttp,
+            kAcceptRetry,
+            [this](tcp::socket socket) { OnConnection(std::move(socket)); }),
         work_(asio::make_work_guard(context_)) {}
 
   status Listen() {
-    const auto endpoint = ParseEndpoint(options_.address);
-    if (!endpoint) {
-      return endpoint.error();
-    }
-    error_code error;
-    acceptor_.open(endpoint->protocol(), error);
-    if (!error) {
-      acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
-      acceptor_.bind(*endpoint, error);
-    }
-    if (!error) {
-      acceptor_.listen(asio::socket_base::max_listen_connections, error);
+    if (status problem = listener_.Listen(
+            options_.address, asio::socket_base::max_listen_connections)) {
+      return problem;
     }
-    if (error) {
-      return failure{
-          result_code::kSettingInvalid,
-          "can't listen on " + options_.address + ": " + error.message()};
-    }
-    port_ = acceptor_.local_endpoint().port();
+    port_ = listener_.port();
     return std::nullopt;
   }
 
   status Start() {
-    if (!acceptor_.is_open()) {
+    if (!listener_.is_open()) {
       if (const status problem = Listen()) {
         return problem;
       }
     }
-    Accept();
+    listener_.Start();
     thread_ = std::thread([this] { context_.run(); });
     return std::nullopt;
   }
@@ -104,8 +74,7 @@
   void StopAccepting() {
     asio::post(context_, [this] {
       shared_.draining = true;
-      error_code ignored;
-      acceptor_.close(ignored);
+      listener_.Close();
       ForEachSession([](http_session& session) { session.CloseIfIdle(); });
     });
   }
@@ -115,9 +84,7 @@
       return;
     }
     asio::post(context_, [this] {
-      error_code ignored;
-      acceptor_.close(ignored);
-      retry_timer_.cancel();
+      listener_.Close();
       ForEachSession([](http_session& session) { session.Close(); });
       work_.reset();
     });
@@ -128,27 +95,6 @@
   const http_metrics& metrics() const { return metrics_; }
 
  private:
-  void Accept() {
-    acceptor_.async_accept([this](const error_code& error, tcp::socket socket) {
-      if (!acceptor_.is_open()) {
-        return;
-      }
-      if (error) {
-        Log(log_level::kWarning, log_part::kHttp,
-            "can't accept a connection: {}.", error.message());
-        retry_timer_.expires_after(kAcceptRetry);
-        retry_timer_.async_wait([this](const error_code& cancelled) {
-          if (!cancelled) {
-            Accept();
-          }
-        });
-        return;
-      }
-      OnConnection(std::move(socket));
-      Accept();
-    });
-  }
-
   void OnConnection(tcp::socket socket) {
     error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
@@ -179,8 +125,7 @@
   http_metrics metrics_;
   asio::io_context context_{1};
   http_shared shared_;
-  tcp::acceptor acceptor_;
-  asio::steady_timer retry_timer_;
+  listener listener_;
   asio::executor_work_guard<asio::io_context::executor_type> work_;
   std::thread thread_;
   uint16_t port_ = 0;
--- a/src/runtime/line/caller_server.cc
+++ b/src/runtime/line/caller_server.cc
@@ -5,7 +5,6 @@
 #include <vector>
 
 #include "src/runtime/line/boot_clock.h"
-#include "src/runtime/line/listen.h"
 
 namespace tarragondale::runtime {
 
@@ -25,40 +24,23 @@
 caller_server::caller_server(net::io_context& context, handler on_event)
     : context_(context),
       on_event_(std::move(on_event)),
-      acceptor_(context),
+      listener_(context,
+                log_part::kSession,
+                kAcceptPause,
+                [this](tcp::socket socket) { Add(std::move(socket)); }),
       sweep_(context) {}
 
 status caller_server::Listen(const std::string& address) {
-  if (status problem = ListenOn(acceptor_, address, kBacklog)) {
+  if (status problem = listener_.Listen(address, kBacklog)) {
     return problem;
   }
-  AcceptNext();
+  listener_.Start();
   SweepSilent();
   return std::nullopt;
 }
 
 void caller_server::StopListening() {
-  boost::system::error_code ignored;
-  acceptor_.close(ignored);
-}
-
-void caller_server::AcceptNext() {
-  acceptor_.async_accept([this](boost::system::error_code error,
-                                tcp::socket socket) {
-    if (!acceptor_.is_open()) {
-      return;
-    }
-    if (!error) {
-      Add(std::move(socket));
-      return AcceptNext();
-    }
-    // Out of descriptors, most likely; others may be closed meanwhile.
-    Log(log_level::kWarning, log_part::kSession, "accept failed: {}.",
-        error.message());
-    auto pause = std::make_shared<net::steady_timer>(context_, kAcceptPause);
-    pause->async_wait(
-        [this, pause](boost::system::error_code) { AcceptNext(); });
-  });
+  listener_.Close();
 }
 
 void caller_server::Add(tcp::socket socket) {
--- a/src/runtime/line/caller_server.h
+++ b/src/runtime/line/caller_server.h
@@ -11,6 +11,7 @@
 #include <unordered_map>
 
 #include "src/runtime/line/connection.h"
+#include "src/runtime/listener.h"
 #include "tarragondale/interactive.h"
 
 namespace tarragondale::runtime {
@@ -40,7 +41,6 @@
     time_point connected;
   };
 
-  void AcceptNext();
   void Add(boost::asio::ip::tcp::socket socket);
   void OnLine(interactive::session_id session, const std::string& line);
   void OnClosed(interactive::session_id session);
@@ -49,7 +49,7 @@
 
   boost::asio::io_context& context_;
   handler on_event_;
-  boost::asio::ip::tcp::acceptor acceptor_;
+  listener listener_;
   boost::asio::steady_timer sweep_;
   std::unordered_map<interactive::session_id, caller> callers_;
   interactive::session_id last_ = 0;
--- a/src/runtime/line/http_channel.cc
+++ b/src/runtime/line/http_channel.cc
@@ -4,9 +4,10 @@
 #include <algorithm>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
-#include <charconv>
 #include <utility>
 
+#include "tarragondale/base/endpoint.h"
+
 namespace tarragondale::runtime {
 
 namespace net = boost::asio;
@@ -19,20 +20,13 @@
 // Calls overlap rarely: a watch, a renewal and a read.
 constexpr size_t kMaxIdleConnections = 3;
 
-}  // namespace
-
-net::ip::tcp::endpoint ParseEndpoint(const std::string& address) {
-  const size_t colon = std::min(address.rfind(':'), address.size());
-  beast::error_code error;
-  const auto host = net::ip::make_address(address.substr(0, colon), error);
-  uint16_t port = 0;
-  if (colon < address.size()) {
-    std::from_chars(address.data() + colon + 1, address.data() + address.size(),
-                    port);
-  }
-  return error ? net::ip::tcp::endpoint() : net::ip::tcp::endpoint(host, port);
+// An address that is none gives an endpoint that can't be connected to.
+net::ip::tcp::endpoint EndpointOf(const std::string& address) {
+  return ParseEndpoint(address).value_or(net::ip::tcp::endpoint());
 }
 
+}  // namespace
+
 // One call at a time; `busy_` from its start to its callback.
 class http_channel::connection
     : public std::enable_shared_from_this<connection> {
@@ -141,7 +135,7 @@
 };
 
 http_channel::http_channel(net::io_context& context, const std::string& address)
-    : context_(context), address_(address), endpoint_(ParseEndpoint(address)) {}
+    : context_(context), address_(address), endpoint_(EndpointOf(address)) {}
 
 http_channel::~http_channel() {
   for (const auto& each : connections_) {
@@ -154,7 +148,7 @@
     return;
   }
   address_ = address;
-  endpoint_ = ParseEndpoint(address);
+  endpoint_ = EndpointOf(address);
   // Connections of running calls are kept alive by those calls.
   for (const auto& each : connections_) {
     if (!each->busy()) {
--- a/src/runtime/line/http_channel.h
+++ b/src/runtime/line/http_channel.h
@@ -53,9 +53,6 @@
   std::vector<std::shared_ptr<connection>> connections_;
 };
 
-/// @brief `IP:port` as an endpoint; port 0 if the text is none.
-boost::asio::ip::tcp::endpoint ParseEndpoint(const std::string& address);
-
 }  // namespace tarragondale::runtime
 
 #endif  // TARRAGONDALE_SRC_RUNTIME_LINE_HTTP_CHANNEL_H_
--- a/src/runtime/line/line_daemon.cc
+++ b/src/runtime/line/line_daemon.cc
@@ -9,7 +9,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
 #include <deque>
-#include <random>
 #include <utility>
 
 #include "platform/platform.h"
@@ -23,6 +22,7 @@
 #include "src/runtime/line/readiness_server.h"
 #include "src/runtime/line/store_mirror.h"
 #include "src/runtime/peer_transport.h"
+#include "src/runtime/system_sources.h"
 #include "tarragondale/interactive.h"
 #include "tarragondale/leadership.h"
 #include "tarragondale/runtime.h"
@@ -59,20 +59,9 @@
 // can still give its rights and registration up.
 constexpr duration kDrainMargin = milliseconds(700);
 
-uint64_t RandomNumber() {
-  std::random_device device;
-  return (static_cast<uint64_t>(device()) << 32) | device();
-}
-
-int64_t UnixMs() {
-  return std::chrono::duration_cast<milliseconds>(
-             std::chrono::system_clock::now().time_since_epoch())
-      .count();
-}
-
 leadership::vm_registration Registration(const config::settings& settings) {
   return {settings.vm_name, settings.peer_address, settings.availability_zone,
-          settings.region, UnixMs()};
+          settings.region, UnixMsNow()};
 }
 
 interactive::broker_options BrokerOptions(const config::settings& settings) {
--- a/src/runtime/line/member_links.cc
+++ b/src/runtime/line/member_links.cc
@@ -3,7 +3,7 @@
 
 #include <utility>
 
-#include "src/runtime/line/http_channel.h"
+#include "tarragondale/base/endpoint.h"
 
 namespace tarragondale::runtime {
 namespace {
@@ -22,7 +22,7 @@
       {.line = [this, id](const std::string& line) { OnLine(id, line); },
        .closed = [this, id](const std::string& reason) { Fail(id, reason); }});
   opened.connection->Connect(
-      ParseEndpoint(command.address),
+      ParseEndpoint(command.address).value_or(boost::asio::ip::tcp::endpoint()),
       platform::EncodeStart(command.group, command.organisation,
                             command.member),
       command.limit);
--- a/src/runtime/line/readiness_server.cc
+++ b/src/runtime/line/readiness_server.cc
@@ -7,7 +7,6 @@
 #include <utility>
 
 #include "platform/platform.h"
-#include "src/runtime/line/listen.h"
 
 namespace tarragondale::runtime {
 
@@ -85,30 +84,22 @@
 };
 
 readiness_server::readiness_server(net::io_context& context, handlers handlers)
-    : context_(context), handlers_(std::move(handlers)), acceptor_(context) {}
+    : handlers_(std::move(handlers)),
+      listener_(
+          context,
+          log_part::kHttp,
+          kAcceptPause,
+          [this](tcp::socket socket) {
+            std::make_shared<session>(std::move(socket), handlers_)->Read();
+          }) {}
 
 status readiness_server::Listen(const std::string& address) {
-  if (status problem = ListenOn(acceptor_, address,
-                                net::socket_base::max_listen_connections)) {
+  if (status problem =
+          listener_.Listen(address, net::socket_base::max_listen_connections)) {
     return problem;
   }
-  AcceptNext();
+  listener_.Start();
   return std::nullopt;
 }
 
-void readiness_server::AcceptNext() {
-  acceptor_.async_accept([this](boost::system::error_code error,
-                                tcp::socket socket) {
-    if (!error) {
-      std::make_shared<session>(std::move(socket), handlers_)->Read();
-      return AcceptNext();
-    }
-    if (acceptor_.is_open()) {
-      auto pause = std::make_shared<net::steady_timer>(context_, kAcceptPause);
-      pause->async_wait(
-          [this, pause](boost::system::error_code) { AcceptNext(); });
-    }
-  });
-}
-
 }  // namespace tarragondale::runtime
--- a/src/runtime/line/readiness_server.h
+++ b/src/runtime/line/readiness_server.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <string>
 
+#include "src/runtime/listener.h"
 #include "tarragondale/base.h"
 
 namespace tarragondale::runtime {
@@ -28,11 +29,8 @@
  private:
   class session;
 
-  void AcceptNext();
-
-  boost::asio::io_context& context_;
   handlers handlers_;
-  boost::asio::ip::tcp::acceptor acceptor_;
+  listener listener_;
 };
 
 }  // namespace tarragondale::runtime
--- a/src/store/connection.cc
+++ b/src/store/connection.cc
@@ -4,7 +4,7 @@
 #include <fmt/format.h>
 
 #include <boost/asio/post.hpp>
-#include <charconv>
+#include "tarragondale/base/endpoint.h"
 
 namespace tarragondale::store {
 
@@ -12,30 +12,6 @@
 namespace beast = boost::beast;
 namespace http = beast::http;
 
-namespace {
-
-std::optional<net::ip::tcp::endpoint> ParseEndpoint(const std::string& text) {
-  const size_t colon = text.rfind(':');
-  if (colon == std::string::npos) {
-    return std::nullopt;
-  }
-  std::string host = text.substr(0, colon);
-  if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
-    host = host.substr(1, host.size() - 2);
-  }
-  uint16_t port = 0;
-  const char* const end = text.data() + text.size();
-  const auto parsed = std::from_chars(text.data() + colon + 1, end, port);
-  beast::error_code error;
-  const auto address = net::ip::make_address(host, error);
-  if (error || parsed.ec != std::errc() || parsed.ptr != end) {
-    return std::nullopt;
-  }
-  return net::ip::tcp::endpoint(address, port);
-}
-
-}  // namespace
-
 status connection::Open(const std::string& endpoint, time_point deadline) {
   if (Usable(endpoint)) {
     return std::nullopt;
--- a/src/store/http_call.cc
+++ b/src/store/http_call.cc
@@ -7,7 +7,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
-#include <charconv>
+#include "tarragondale/base/endpoint.h"
 
 namespace tarragondale::store {
 
@@ -19,22 +19,6 @@
 
 constexpr size_t kMaxBody = 64 * 1024 * 1024;
 
-// `address` has passed `config::IsAddress`, or connecting fails.
-net::ip::tcp::endpoint Endpoint(const std::string& address) {
-  const size_t colon = std::min(address.rfind(':'), address.size());
-  std::string host = address.substr(0, colon);
-  if (host.size() > 2 && host.front() == '[') {
-    host = host.substr(1, host.size() - 2);
-  }
-  uint16_t port = 0;
-  if (colon < address.size()) {
-    std::from_chars(address.data() + colon + 1, address.data() + address.size(),
-                    port);
-  }
-  beast::error_code ignored;
-  return {net::ip::make_address(host, ignored), port};
-}
-
 }  // namespace
 
 result<http_reply> CallHttp(const std::string& address,
@@ -54,7 +38,9 @@
     context.run();
   };
   stream.expires_after(limit);
-  stream.async_connect(Endpoint(address), finish);
+  // An address that is none gives an endpoint that can't be connected to.
+  stream.async_connect(
+      ParseEndpoint(address).value_or(net::ip::tcp::endpoint()), finish);
   run();
   if (error) {
     return failure{result_code::kGatewayUnreachable,
