Take long and repeated parts of the keeper and the store's client apart

The choice of a new primary was one function of 110 lines: a survey of the members, the taking of a member that leads, and the question whether the best candidate may be promoted are functions now, and every promotion goes one way. The group of a record was searched for by its epoch although the caller knows it. One function calls the platform's store; three places decoded its answers. Readers of JSON members differed by a type only. The simulation's store is a test double of its own and serves the keeper that is driven by hand, too.

--- a/include/tarragondale/leadership.h
+++ b/include/tarragondale/leadership.h
@@ -40,7 +40,7 @@
   std::string member;
   int64_t term = 0;         ///< In which the member leads; 0: not known.
   bool moving = false;      ///< The primary is being replaced.
-  std::string writer = {};  ///< VM and incarnation, to find lost answers.
+  std::string writer = {};  ///< VM and incarnation, for people who read it.
   int64_t epoch = 0;
 
   bool operator==(const primary_record&) const = default;
--- a/src/leadership/keeper_handover.cc
+++ b/src/leadership/keeper_handover.cc
@@ -43,7 +43,7 @@
     bool planned = false;
     if (IsSuperseded(group, record.member)) {
       StartHandover(group, record, false, "another member leads");
-    } else if (auto reason = ReasonToMove(record, planned)) {
+    } else if (auto reason = ReasonToMove(group, record, planned)) {
       StartHandover(group, record, planned, std::move(*reason));
     }
   }
@@ -86,6 +86,7 @@
 }
 
 std::optional<std::string> keeper::implementation::ReasonToMove(
+    const std::string& group,
     const primary_record& record,
     bool& planned) {
   const auto member = members_->find(record.member);
@@ -93,14 +94,6 @@
     planned = true;
     return "the primary is leaving";
   }
-  const std::string group = [&] {
-    for (const auto& [name, each] : records_) {
-      if (each.epoch == record.epoch) {
-        return name;
-      }
-    }
-    return std::string();
-  }();
   if (IsSuspected(group, record.member)) {
     return "the primary is unreachable";
   }
@@ -351,119 +344,135 @@
   }
 }
 
-void keeper::implementation::ContinueChoice(const std::string& group,
-                                            handover& move) {
-  CheckMembers(group, move);
-  const interactive::member_status* from = nullptr;
-  const std::string* best = nullptr;
-  const interactive::member_status* best_status = nullptr;
-  size_t answered = 0;
-  size_t candidates = 0;
-  log_position newest;     // Of all members but the old primary.
-  bool all_known = true;   // Of all members but the old primary.
-  bool from_known = true;  // Or it is gone.
-  // Of the members that say that they lead, the one of the highest term.
-  const checked_status* leading = nullptr;
-  std::string leader;
+keeper::implementation::survey keeper::implementation::SurveyMembers(
+    const std::string& group,
+    handover& move) const {
+  survey found;
   for (const interactive::member_record* each : MembersOf(group)) {
     const bool eligible = each->id != move.from && !each->draining &&
                           !move.refused.contains(each->id);
-    candidates += eligible ? 1 : 0;
-    const auto found = move.statuses.find(each->id);
-    if (found == move.statuses.end() || found->second.at < move.state_since) {
-      all_known = all_known && each->id == move.from;
-      from_known = from_known && each->id != move.from;
+    found.candidates += eligible ? 1 : 0;
+    const auto known = move.statuses.find(each->id);
+    if (known == move.statuses.end() || known->second.at < move.state_since) {
+      (each->id == move.from ? found.from_known : found.others_known) = false;
       continue;
     }
-    const interactive::member_status& status = found->second.status;
+    const interactive::member_status& status = known->second.status;
     if (each->id == move.from) {
-      if (found->second.at < move.state_since + kStatusMargin) {
-        continue;
-      }
-      from = &status;
-      if (status.primary) {
-        move.from_term = std::max(move.from_term, status.term);
+      if (known->second.at >= move.state_since + kStatusMargin) {
+        found.from = status;
+        if (status.primary) {
+          move.from_term = std::max(move.from_term, status.term);
+        }
       }
       continue;
     }
     if (status.primary && status.term > move.from_term && move.from_term > 0 &&
-        (leading == nullptr || status.term > leading->status.term)) {
-      leading = &found->second;
-      leader = each->id;
+        status.term > found.leader_term) {
+      found.leader = each->id;
+      found.leader_term = status.term;
     }
-    newest = std::max(newest, status.received);
+    found.newest = std::max(found.newest, status.received);
     if (!eligible) {
       continue;
     }
-    ++answered;
-    if (best_status == nullptr || status.received > best_status->received) {
-      best = &each->id;
-      best_status = &status;
+    ++found.answered;
+    if (!found.best || status.received > found.best->received) {
+      found.best_member = each->id;
+      found.best = status;
     }
   }
-  const duration waited =
-      std::chrono::duration_cast<duration>(now_ - move.state_since);
-  if (leading != nullptr) {
-    if (all_known && from_known) {
-      move.chosen = leader;
-      move.new_term = leading->status.term;
-      return Fire(group, move, handover_event::kAlreadyPrimary, leader);
-    }
-    if (waited > options_.choose_limit && !move.refused.contains(leader)) {
-      return PromoteAgain(group, move, leader, leading->status.term,
-                          "it leads, but not all members answer");
-    }
+  return found;
+}
+
+// A member that was promoted before, by an attempt that was left unfinished,
+// is taken as the primary if no other can have been promoted since.
+bool keeper::implementation::TakeLeader(const std::string& group,
+                                        handover& move,
+                                        const survey& found,
+                                        duration waited) {
+  if (found.leader.empty()) {
+    return false;
   }
-  const bool caught_up = best_status != nullptr && from != nullptr &&
-                         best_status->received >= from->received;
-  const bool complete =
-      answered == candidates && (from != nullptr || !move.planned);
-  const duration limit =
-      from != nullptr ? options_.catch_up_limit : options_.choose_limit;
+  if (found.others_known && found.from_known) {
+    move.chosen = found.leader;
+    move.new_term = found.leader_term;
+    Fire(group, move, handover_event::kAlreadyPrimary, found.leader);
+    return true;
+  }
+  if (waited > options_.choose_limit && !move.refused.contains(found.leader)) {
+    Promote(group, move, found.leader, found.leader_term,
+            "it leads, but not all members answer");
+    return true;
+  }
+  return false;
+}
+
+// Whether the best candidate may be promoted: it has all that is known to have
+// been committed, or the others were awaited for long enough.
+bool keeper::implementation::MayPromote(const std::string& group,
+                                        const handover& move,
+                                        const survey& found,
+                                        duration waited) const {
   const auto limits = catalogue_->groups.find(group);
   const bool synchronous = limits != catalogue_->groups.end() &&
                            limits->second.synchronous_replicas > 0;
-  if (synchronous && best != nullptr && waited < options_.synchronous_limit &&
-      (!all_known || best_status->received < newest)) {
+  if (synchronous && waited < options_.synchronous_limit &&
+      (!found.others_known || found.best->received < found.newest)) {
     // Any of the members may be the one that holds the last commits.
+    return false;
+  }
+  const bool complete =
+      found.answered == found.candidates && (found.from || !move.planned);
+  const bool caught_up =
+      !found.from || found.best->received >= found.from->received;
+  return (complete && caught_up) ||
+         waited >
+             (found.from ? options_.catch_up_limit : options_.choose_limit);
+}
+
+void keeper::implementation::ContinueChoice(const std::string& group,
+                                            handover& move) {
+  CheckMembers(group, move);
+  const survey found = SurveyMembers(group, move);
+  const duration waited =
+      std::chrono::duration_cast<duration>(now_ - move.state_since);
+  if (TakeLeader(group, move, found, waited)) {
     return;
   }
-  if (best != nullptr &&
-      ((complete && (from == nullptr || caught_up)) || waited > limit)) {
-    move.chosen = *best;
-    move.claimed_term = best_status->primary ? best_status->term : 0;
-    move.new_term = 0;
-    move.calling = false;
-    move.next_call = now_;
-    Fire(group, move, handover_event::kChosen,
-         fmt::format("{} of {} candidates answered, position {}.{}", answered,
-                     candidates, best_status->received.term,
-                     best_status->received.position));
-    return ContinuePromotion(group, move);
-  }
-  if (best == nullptr && from != nullptr && from->primary &&
-      waited > options_.restore_limit) {
-    if (move.maybe_promoted) {
-      return PromoteAgain(group, move, move.from, from->term,
-                          "no other member answers");
+  if (found.best) {
+    if (MayPromote(group, move, found, waited)) {
+      Promote(group, move, found.best_member,
+              found.best->primary ? found.best->term : 0,
+              fmt::format("{} of {} candidates answered, position {}.{}",
+                          found.answered, found.candidates,
+                          found.best->received.term,
+                          found.best->received.position));
     }
-    move.chosen = move.from;
-    move.new_term = from->term;
-    return Fire(group, move, handover_event::kRestored,
-                "no other member answers");
+    return;
   }
-  if (best == nullptr && waited > options_.restore_limit) {
+  if (waited <= options_.restore_limit) {
+    return;
+  }
+  if (!found.from || !found.from->primary) {
     move.refused.clear();
+  } else if (move.maybe_promoted) {
+    Promote(group, move, move.from, found.from->term,
+            "no other member answers");
+  } else {
+    move.chosen = move.from;
+    move.new_term = found.from->term;
+    Fire(group, move, handover_event::kRestored, "no other member answers");
   }
 }
 
-// A member that says that it leads may have been superseded by one that does
-// not answer. Promoting it changes nothing if it does lead.
-void keeper::implementation::PromoteAgain(const std::string& group,
-                                          handover& move,
-                                          std::string member,
-                                          int64_t claimed_term,
-                                          std::string_view why) {
+// A member that says that it leads in `claimed_term` may have been superseded
+// by one that does not answer. Promoting it changes nothing if it does lead.
+void keeper::implementation::Promote(const std::string& group,
+                                     handover& move,
+                                     std::string member,
+                                     int64_t claimed_term,
+                                     std::string_view why) {
   move.chosen = std::move(member);
   move.claimed_term = claimed_term;
   move.new_term = 0;
--- a/src/leadership/keeper_implementation.h
+++ b/src/leadership/keeper_implementation.h
@@ -126,6 +126,20 @@
     int64_t claimed_term = 0;
   };
 
+  // What the members of a group said since the choice began.
+  struct survey {
+    std::optional<interactive::member_status> from;  ///< The old primary.
+    std::optional<interactive::member_status> best;  ///< The candidate that has
+    std::string best_member;                         ///< received most.
+    std::string leader;  ///< Says that it leads, in the highest term.
+    int64_t leader_term = 0;
+    size_t candidates = 0;
+    size_t answered = 0;       ///< Of the candidates.
+    log_position newest;       ///< Of all members but the old primary.
+    bool others_known = true;  ///< All but the old primary answered.
+    bool from_known = true;    ///< The old primary answered, or is gone.
+  };
+
   // --- Events (keeper.cc) ---
   void On(const item_seen& event);
   void On(const items_loaded& event);
@@ -177,7 +191,8 @@
                    const std::string& group,
                    int64_t epoch,
                    primary_record record);
-  std::optional<std::string> ReasonToMove(const primary_record& record,
+  std::optional<std::string> ReasonToMove(const std::string& group,
+                                          const primary_record& record,
                                           bool& planned);
   bool IsSuperseded(const std::string& group, const std::string& member);
   bool IsSuspected(const std::string& group, const std::string& member) const;
@@ -189,11 +204,20 @@
   void ContinueStop(const std::string& group, handover& move);
   void ContinueChoice(const std::string& group, handover& move);
   void ContinuePromotion(const std::string& group, handover& move);
-  void PromoteAgain(const std::string& group,
-                    handover& move,
-                    std::string member,
-                    int64_t claimed_term,
-                    std::string_view why);
+  void Promote(const std::string& group,
+               handover& move,
+               std::string member,
+               int64_t claimed_term,
+               std::string_view why);
+  survey SurveyMembers(const std::string& group, handover& move) const;
+  bool TakeLeader(const std::string& group,
+                  handover& move,
+                  const survey& found,
+                  duration waited);
+  bool MayPromote(const std::string& group,
+                  const handover& move,
+                  const survey& found,
+                  duration waited) const;
   void ContinueConfirmation(handover& move);
   void ContinuePublication(const std::string& group, handover& move);
   void OnHandoverAnswer(const pending_call& call, const store_answered& event);
--- a/src/leadership/keeper_simulation.h
+++ b/src/leadership/keeper_simulation.h
@@ -12,6 +12,7 @@
 #include <utility>
 #include <vector>
 
+#include "src/leadership/keyspace_double.h"
 #include "tarragondale/leadership.h"
 
 namespace tarragondale::leadership {
@@ -50,6 +51,9 @@
   };
 
   explicit keeper_simulation(uint64_t seed, int vms = 5) : random_(seed) {
+    store_.announce = [this](const item& changed, bool removed) {
+      Announce(changed, removed);
+    };
     for (const char* id : {"a", "b", "c"}) {
       members_[id] = {id, true, true, false, {id[0] == 'a', 1, {1, 100}}};
     }
@@ -124,7 +128,7 @@
     for (const time_point end = now_ + span; now_ < end;) {
       now_ += kStep;
       RunDue();
-      ExpireLeases();
+      store_.ExpireLeases(now_);
       for (const auto& each : vms_) {
         if (Runs(*each)) {
           if (now_ >= each->mind->NextDeadline()) {
@@ -173,7 +177,7 @@
   }
 
  private:
-  using item = store::keyspace::item;
+  using item = keyspace_double::item;
   using call_status = store::keyspace::call_status;
 
   bool Runs(const vm& of) const { return of.alive && now_ >= of.frozen_until; }
@@ -233,7 +237,7 @@
                 : (lost && Chance(late_writes) ? duration(milliseconds(2'500))
                                                : duration(milliseconds(5)));
     Later(delay, [this, answer, lost, call = action.call] {
-      store::keyspace::reply reply = Execute(call);
+      store::keyspace::reply reply = store_.Execute(call, now_);
       if (!lost) {
         Later(milliseconds(5), [answer, reply] { answer(reply); });
       }
@@ -299,99 +303,6 @@
 
   // --- Store ---
 
-  store::keyspace::reply Execute(const store::keyspace::call& call) {
-    return std::visit([this](const auto& each) { return Run(each); }, call);
-  }
-
-  store::keyspace::reply Run(const store::keyspace::range_call& call) {
-    store::keyspace::reply reply{.status = call_status::kDone};
-    for (const auto& [key, value] : items_) {
-      if (key.starts_with(call.prefix)) {
-        reply.items.push_back(value);
-      }
-    }
-    reply.revision = revision_;
-    return reply;
-  }
-  store::keyspace::reply Run(const store::keyspace::watch_call& /*call*/) {
-    return {.status = call_status::kRefused};
-  }
-  store::keyspace::reply Run(const store::keyspace::transaction_call& call) {
-    store::keyspace::reply reply{.status = call_status::kDone};
-    for (const auto& each : call.conditions) {
-      const auto found = items_.find(each.key);
-      const int64_t revision =
-          found == items_.end() ? 0 : found->second.revision;
-      if (revision != each.revision) {
-        reply.status = call_status::kConflict;
-      }
-      if (found != items_.end()) {
-        reply.items.push_back(found->second);
-      }
-    }
-    for (const auto& each : call.writes) {
-      if (each.lease != 0 && !leases_.contains(each.lease)) {
-        return {.status = call_status::kNotFound};
-      }
-    }
-    if (reply.status != call_status::kDone) {
-      return reply;
-    }
-    reply.items.clear();
-    reply.revision = ++revision_;
-    for (item each : call.writes) {
-      each.revision = revision_;
-      items_[each.key] = each;
-      Announce(each, false);
-    }
-    return reply;
-  }
-  store::keyspace::reply Run(const store::keyspace::grant_call& call) {
-    leases_[++last_lease_] = {call.lifetime, now_};
-    return {.status = call_status::kDone,
-            .lease = last_lease_,
-            .lifetime = call.lifetime};
-  }
-  store::keyspace::reply Run(const store::keyspace::renew_call& call) {
-    const auto found = leases_.find(call.lease);
-    if (found == leases_.end()) {
-      return {.status = call_status::kNotFound};
-    }
-    found->second.second = now_;
-    return {.status = call_status::kDone};
-  }
-  store::keyspace::reply Run(const store::keyspace::revoke_call& call) {
-    EndLease(call.lease);
-    return {.status = call_status::kDone};
-  }
-
-  void ExpireLeases() {
-    std::vector<int64_t> ended;
-    for (const auto& [id, lease] : leases_) {
-      if (now_ - lease.second > lease.first) {
-        ended.push_back(id);
-      }
-    }
-    for (const int64_t id : ended) {
-      EndLease(id);
-    }
-  }
-
-  void EndLease(int64_t lease) {
-    leases_.erase(lease);
-    std::vector<item> removed;
-    for (const auto& [key, value] : items_) {
-      if (value.lease == lease) {
-        removed.push_back(value);
-      }
-    }
-    for (const item& each : removed) {
-      ++revision_;
-      items_.erase(each.key);
-      Announce(each, true);
-    }
-  }
-
   void Announce(const item& changed, bool removed) {
     for (const auto& each : vms_) {
       vm& to = *each;
@@ -483,7 +394,7 @@
       return;
     }
     std::vector<item> all;
-    for (const auto& [key, value] : items_) {
+    for (const auto& [key, value] : store_.items()) {
       all.push_back(value);
     }
     Step(of, items_loaded{std::move(all)});
@@ -548,10 +459,7 @@
   int64_t last_token_ = 0;
   int promotions_ = 0;
   int64_t last_incarnation_ = 0;
-  std::map<std::string, item> items_;
-  int64_t revision_ = 0;
-  std::map<int64_t, std::pair<milliseconds, time_point>> leases_;
-  int64_t last_lease_ = 0;
+  keyspace_double store_;
   std::set<std::string> missed_;
   std::vector<std::string> violations_;
 };
--- a/src/leadership/keeper_test.cc
+++ b/src/leadership/keeper_test.cc
@@ -106,8 +106,8 @@
                             }});
   }
 
-  // Answers all calls as a store would in which `items` lie, and checks of
-  // members; the time goes on in steps.
+  // Answers all calls by `store`, and checks of members; the time goes on in
+  // steps.
   void Run(duration span) {
     for (const time_point end = now + span; now < end;
          now += milliseconds(20)) {
@@ -115,7 +115,7 @@
       while (!calls.empty()) {
         const auto [call, sent] = std::move(calls.front());
         calls.erase(calls.begin());
-        Step(store_answered{call.tag, sent, Execute(call.call)});
+        Step(store_answered{call.tag, sent, store.Execute(call.call, now)});
       }
       for (const std::string& id : std::exchange(checks, {})) {
         if (id == "b") {
@@ -126,26 +126,6 @@
     }
   }
 
-  store::keyspace::reply Execute(const store::keyspace::call& call) {
-    store::keyspace::reply reply{.status = store::keyspace::call_status::kDone,
-                                 .lease = 1};
-    if (const auto* read = std::get_if<store::keyspace::range_call>(&call)) {
-      for (const auto& [key, value] : items) {
-        if (key.starts_with(read->prefix)) {
-          reply.items.push_back(value);
-        }
-      }
-    } else if (const auto* write =
-                   std::get_if<store::keyspace::transaction_call>(&call)) {
-      reply.revision = ++revision;
-      for (store::keyspace::item each : write->writes) {
-        each.revision = revision;
-        items[each.key] = each;
-      }
-    }
-    return reply;
-  }
-
   void Step(const event& input) {
     for (action& each : mind->Step(now, input)) {
       if (auto* call = std::get_if<call_store>(&each)) {
@@ -186,8 +166,7 @@
   time_point now = TimeFromMs(1'000);
   std::vector<std::pair<call_store, time_point>> calls;
   std::vector<std::string> checks;
-  std::map<std::string, store::keyspace::item> items;
-  int64_t revision = 20;
+  keyspace_double store;
   int promotions = 0;
   interactive::primary_right right;
 };
@@ -205,17 +184,17 @@
   }
   test.Step(members_changed{directory});
   const vm_registration other{"vm-2", "127.0.0.1:2", "z", "r", 7};
-  test.items[VmKey("vm-2")] = {VmKey("vm-2"), EncodeVm(other), 3, 9};
-  test.items[PrimaryKey("g")] = {PrimaryKey("g"),
-                                 EncodePrimary({"a", 1, false, "vm-2/1"}), 4};
+  test.store.Put({VmKey("vm-2"), EncodeVm(other)});
+  test.store.Put({PrimaryKey("g"), EncodePrimary({"a", 1, false, "vm-2/1"})});
+  const int64_t epoch = test.store.items().at(PrimaryKey("g")).revision;
   test.Run(milliseconds(2'800));
-  ASSERT_TRUE(DecodePrimary(test.items[PrimaryKey("g")])->moving);
+  ASSERT_TRUE(DecodePrimary(test.store.items().at(PrimaryKey("g")))->moving);
   wire::fleet_digest digest;
   digest.incarnation = 7;
   wire::primary_state state;
   state.group = "g";
   state.member = "a";
-  state.epoch = 4;
+  state.epoch = epoch;
   digest.primaries.push_back(state);
   test.Step(digest_arrived{"vm-2", digest, test.now});
   test.Run(milliseconds(2'000));
--- /dev/null
+++ b/src/leadership/keyspace_double.h
@@ -0,0 +1,148 @@
+// A store in memory, in virtual time. Test support.
+#ifndef TARRAGONDALE_SRC_LEADERSHIP_KEYSPACE_DOUBLE_H_
+#define TARRAGONDALE_SRC_LEADERSHIP_KEYSPACE_DOUBLE_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "tarragondale/store/keyspace.h"
+
+namespace tarragondale::leadership {
+
+/// @brief Runs calls as the platform's store does. Watches are refused: changes
+/// go to `announce`.
+class keyspace_double {
+ public:
+  using item = store::keyspace::item;
+
+  /// @brief Told of each change; `removed` with the item's last state.
+  std::function<void(const item& changed, bool removed)> announce;
+
+  store::keyspace::reply Execute(const store::keyspace::call& call,
+                                 time_point now) {
+    now_ = now;
+    return std::visit([this](const auto& each) { return Run(each); }, call);
+  }
+
+  /// @brief Ends leases that were not renewed in time.
+  void ExpireLeases(time_point now) {
+    std::vector<int64_t> ended;
+    for (const auto& [id, lease] : leases_) {
+      if (now - lease.second > lease.first) {
+        ended.push_back(id);
+      }
+    }
+    for (const int64_t id : ended) {
+      EndLease(id);
+    }
+  }
+
+  /// @brief Writes an item of another writer.
+  void Put(item written) {
+    written.revision = ++revision_;
+    items_[written.key] = written;
+    Announce(written, false);
+  }
+
+  const std::map<std::string, item>& items() const { return items_; }
+
+ private:
+  using call_status = store::keyspace::call_status;
+
+  store::keyspace::reply Run(const store::keyspace::range_call& call) {
+    store::keyspace::reply reply{.status = call_status::kDone};
+    for (const auto& [key, value] : items_) {
+      if (key.starts_with(call.prefix)) {
+        reply.items.push_back(value);
+      }
+    }
+    reply.revision = revision_;
+    return reply;
+  }
+  store::keyspace::reply Run(const store::keyspace::watch_call& /*call*/) {
+    return {.status = call_status::kRefused};
+  }
+  store::keyspace::reply Run(const store::keyspace::transaction_call& call) {
+    store::keyspace::reply reply{.status = call_status::kDone};
+    for (const auto& each : call.conditions) {
+      const auto found = items_.find(each.key);
+      const int64_t revision =
+          found == items_.end() ? 0 : found->second.revision;
+      if (revision != each.revision) {
+        reply.status = call_status::kConflict;
+      }
+      if (found != items_.end()) {
+        reply.items.push_back(found->second);
+      }
+    }
+    for (const auto& each : call.writes) {
+      if (each.lease != 0 && !leases_.contains(each.lease)) {
+        return {.status = call_status::kNotFound};
+      }
+    }
+    if (reply.status != call_status::kDone) {
+      return reply;
+    }
+    reply.items.clear();
+    reply.revision = ++revision_;
+    for (item each : call.writes) {
+      each.revision = revision_;
+      items_[each.key] = each;
+      Announce(each, false);
+    }
+    return reply;
+  }
+  store::keyspace::reply Run(const store::keyspace::grant_call& call) {
+    leases_[++last_lease_] = {call.lifetime, now_};
+    return {.status = call_status::kDone,
+            .lease = last_lease_,
+            .lifetime = call.lifetime};
+  }
+  store::keyspace::reply Run(const store::keyspace::renew_call& call) {
+    const auto found = leases_.find(call.lease);
+    if (found == leases_.end()) {
+      return {.status = call_status::kNotFound};
+    }
+    found->second.second = now_;
+    return {.status = call_status::kDone};
+  }
+  store::keyspace::reply Run(const store::keyspace::revoke_call& call) {
+    EndLease(call.lease);
+    return {.status = call_status::kDone};
+  }
+
+  void EndLease(int64_t lease) {
+    leases_.erase(lease);
+    std::vector<item> removed;
+    for (const auto& [key, value] : items_) {
+      if (value.lease == lease) {
+        removed.push_back(value);
+      }
+    }
+    for (const item& each : removed) {
+      ++revision_;
+      items_.erase(each.key);
+      Announce(each, true);
+    }
+  }
+
+  void Announce(const item& changed, bool removed) const {
+    if (announce) {
+      announce(changed, removed);
+    }
+  }
+
+  time_point now_;
+  std::map<std::string, item> items_;
+  int64_t revision_ = 0;
+  std::map<int64_t, std::pair<milliseconds, time_point>> leases_;
+  int64_t last_lease_ = 0;
+};
+
+}  // namespace tarragondale::leadership
+
+#endif  // TARRAGONDALE_SRC_LEADERSHIP_KEYSPACE_DOUBLE_H_
--- a/src/leadership/records.cc
+++ b/src/leadership/records.cc
@@ -21,30 +21,17 @@
   return value.is_object() ? value : json(json::value_t::discarded);
 }
 
-bool ReadText(const json& object, const char* name, std::string& text) {
+// Reads a member of the object; false if it is missing or of another type.
+template <typename T>
+bool Read(const json& object,
+          const char* name,
+          bool (json::*is_type)() const noexcept,
+          T& value) {
   const auto found = object.find(name);
-  if (found == object.end() || !found->is_string()) {
+  if (found == object.end() || !((*found).*is_type)()) {
     return false;
   }
-  text = found->get<std::string>();
-  return true;
-}
-
-bool ReadNumber(const json& object, const char* name, int64_t& number) {
-  const auto found = object.find(name);
-  if (found == object.end() || !found->is_number_integer()) {
-    return false;
-  }
-  number = found->get<int64_t>();
-  return true;
-}
-
-bool ReadFlag(const json& object, const char* name, bool& flag) {
-  const auto found = object.find(name);
-  if (found == object.end() || !found->is_boolean()) {
-    return false;
-  }
-  flag = found->get<bool>();
+  value = found->template get<T>();
   return true;
 }
 
@@ -96,10 +83,11 @@
 result<primary_record> DecodePrimary(const store::keyspace::item& item) {
   const json value = Object(item);
   primary_record record;
-  if (value.is_discarded() || !ReadText(value, "member", record.member) ||
-      !ReadNumber(value, "term", record.term) ||
-      !ReadFlag(value, "moving", record.moving) ||
-      !ReadText(value, "writer", record.writer)) {
+  if (value.is_discarded() ||
+      !Read(value, "member", &json::is_string, record.member) ||
+      !Read(value, "term", &json::is_number_integer, record.term) ||
+      !Read(value, "moving", &json::is_boolean, record.moving) ||
+      !Read(value, "writer", &json::is_string, record.writer)) {
     return Invalid(item);
   }
   record.epoch = item.revision;
@@ -109,11 +97,14 @@
 result<vm_registration> DecodeVm(const store::keyspace::item& item) {
   const json value = Object(item);
   vm_registration record;
-  if (value.is_discarded() || !ReadText(value, "name", record.name) ||
-      !ReadText(value, "peer_address", record.peer_address) ||
-      !ReadText(value, "availability_zone", record.availability_zone) ||
-      !ReadText(value, "region", record.region) ||
-      !ReadNumber(value, "incarnation", record.incarnation)) {
+  if (value.is_discarded() ||
+      !Read(value, "name", &json::is_string, record.name) ||
+      !Read(value, "peer_address", &json::is_string, record.peer_address) ||
+      !Read(value, "availability_zone", &json::is_string,
+            record.availability_zone) ||
+      !Read(value, "region", &json::is_string, record.region) ||
+      !Read(value, "incarnation", &json::is_number_integer,
+            record.incarnation)) {
     return Invalid(item);
   }
   const auto stopped = value.find("stopped");
@@ -131,8 +122,10 @@
 result<duty_record> DecodeDuty(const store::keyspace::item& item) {
   const json value = Object(item);
   duty_record record;
-  if (value.is_discarded() || !ReadText(value, "holder", record.holder) ||
-      !ReadNumber(value, "incarnation", record.incarnation)) {
+  if (value.is_discarded() ||
+      !Read(value, "holder", &json::is_string, record.holder) ||
+      !Read(value, "incarnation", &json::is_number_integer,
+            record.incarnation)) {
     return Invalid(item);
   }
   record.token = item.revision;
--- a/src/runtime/line/line_daemon.cc
+++ b/src/runtime/line/line_daemon.cc
@@ -20,6 +20,7 @@
 #include "src/runtime/line/member_links.h"
 #include "src/runtime/line/member_listing.h"
 #include "src/runtime/line/readiness_server.h"
+#include "src/runtime/line/store_call.h"
 #include "src/runtime/line/store_mirror.h"
 #include "src/runtime/peer_transport.h"
 #include "src/runtime/system_sources.h"
@@ -266,9 +267,7 @@
         leadership::member_checked{action.member, action.status}));
   }
   void Do(const interactive::decision_note& action) {
-    if (LogEnabled(action.level)) {
-      WriteLog(action.level, log_part::kSession, action.text);
-    }
+    Log(action.level, log_part::kSession, "{}", action.text);
   }
   void Do(const interactive::drained& /*action*/) {
     inbox_.emplace_back(leadership::event(leadership::leave_started{}));
@@ -283,24 +282,13 @@
   }
 
   void Do(const leadership::call_store& action) {
-    const time_point sent = BootNow();
-    store_channel_.Call(platform::EncodeStoreCall(action.call), kStoreLimit,
-                        [this, tag = action.tag, call = action.call,
-                         sent](const http_outcome& outcome) {
-                          leadership::store_answered answered{tag, sent, {}};
-                          if (outcome.status != 0) {
-                            answered.reply = platform::DecodeStoreReply(
-                                call, outcome.status, outcome.body);
-                            mirror_.Expect(answered.reply.revision);
-                          } else {
-                            answered.reply.status =
-                                outcome.sent
-                                    ? store::keyspace::call_status::kUnknown
-                                    : store::keyspace::call_status::kRefused;
-                            answered.reply.reason = outcome.error;
-                          }
-                          Post(leadership::event(std::move(answered)));
-                        });
+    CallStore(store_channel_, action.call, kStoreLimit,
+              [this, tag = action.tag,
+               sent = BootNow()](store::keyspace::reply reply) {
+                mirror_.Expect(reply.revision);
+                Post(leadership::event(
+                    leadership::store_answered{tag, sent, std::move(reply)}));
+              });
   }
   void Do(const leadership::set_rights& action) {
     inbox_.emplace_back(
@@ -349,9 +337,7 @@
     inbox_.emplace_back(interactive::event(std::move(changed)));
   }
   void Do(const leadership::note& action) {
-    if (LogEnabled(action.level)) {
-      WriteLog(action.level, log_part::kPrimary, action.text);
-    }
+    Log(action.level, log_part::kPrimary, "{}", action.text);
   }
 
   // --- The store's keys ---
--- a/src/runtime/line/store_mirror.cc
+++ b/src/runtime/line/store_mirror.cc
@@ -1,6 +1,8 @@
 // Load and watch of the store's keys.
 #include "src/runtime/line/store_mirror.h"
 
+#include "src/runtime/line/store_call.h"
+
 namespace tarragondale::runtime {
 
 using store::keyspace::call_status;
@@ -67,57 +69,50 @@
 // Pages are no snapshot, so the watch starts at the first page's revision and
 // repeats changes that later pages may hold already.
 void store_mirror::LoadPage(std::string after) {
-  const store::keyspace::call call =
-      store::keyspace::range_call{"", std::move(after)};
-  channel_.Call(
-      platform::EncodeStoreCall(call), kLoadLimit,
-      [this, call, generation = generation_](const http_outcome& outcome) {
-        if (stopped_ || generation != generation_) {
-          return;
-        }
-        auto reply =
-            platform::DecodeStoreReply(call, outcome.status, outcome.body);
-        if (reply.status != call_status::kDone) {
-          SetReachable(false,
-                       outcome.error.empty() ? reply.reason : outcome.error);
-          return RetryLater(true);
-        }
-        SetReachable(true, "");
-        if (first_page_ == 0) {
-          first_page_ = reply.revision;
-        }
-        const std::string last =
-            reply.items.empty() ? std::string() : reply.items.back().key;
-        std::move(reply.items.begin(), reply.items.end(),
-                  std::back_inserter(loading_));
-        if (reply.more && !last.empty()) {
-          return LoadPage(last);
-        }
-        revision_ = first_page_;
-        handlers_.loaded(std::exchange(loading_, {}));
-        Watch();
-      });
+  CallStore(channel_, store::keyspace::range_call{"", std::move(after)},
+            kLoadLimit,
+            [this, generation = generation_](store::keyspace::reply reply) {
+              if (stopped_ || generation != generation_) {
+                return;
+              }
+              if (reply.status != call_status::kDone) {
+                SetReachable(false, reply.reason);
+                return RetryLater(true);
+              }
+              SetReachable(true, "");
+              if (first_page_ == 0) {
+                first_page_ = reply.revision;
+              }
+              const std::string last =
+                  reply.items.empty() ? std::string() : reply.items.back().key;
+              std::move(reply.items.begin(), reply.items.end(),
+                        std::back_inserter(loading_));
+              if (reply.more && !last.empty()) {
+                return LoadPage(last);
+              }
+              revision_ = first_page_;
+              handlers_.loaded(std::exchange(loading_, {}));
+              Watch();
+            });
 }
 
 void store_mirror::Watch() {
   // A store that did not answer is asked by short calls: a long one that is
   // lost would hide its return.
-  const store::keyspace::call call = store::keyspace::watch_call{
-      "", revision_, reachable_ ? kWatchWait : milliseconds(1)};
-  channel_.Call(
-      platform::EncodeStoreCall(call), reachable_ ? kWatchLimit : kLoadLimit,
-      [this, call, generation = generation_](const http_outcome& outcome) {
+  CallStore(
+      channel_,
+      store::keyspace::watch_call{"", revision_,
+                                  reachable_ ? kWatchWait : milliseconds(1)},
+      reachable_ ? kWatchLimit : kLoadLimit,
+      [this, generation = generation_](const store::keyspace::reply& reply) {
         if (stopped_ || generation != generation_) {
           return;
         }
-        auto reply =
-            platform::DecodeStoreReply(call, outcome.status, outcome.body);
         if (reply.status == call_status::kCompacted) {
           return Load();
         }
         if (reply.status != call_status::kDone) {
-          SetReachable(false,
-                       outcome.error.empty() ? reply.reason : outcome.error);
+          SetReachable(false, reply.reason);
           return RetryLater(false);
         }
         SetReachable(true, "");
