Simplify the session broker's bookkeeping

A statement is taken out of the waiting set by its key: every dispatch walked through all that wait. A time limit is the route's, not derived from two times; its clamp could not be reached. One function adds observed positions, one predicate names a busy link. xxHash, which placement and rates use, replaces an FNV of our own in the names of prepared statements on links (not seen by callers).

--- a/include/tarragondale/interactive.h
+++ b/include/tarragondale/interactive.h
@@ -203,7 +203,6 @@
   size_t max_sessions = 3'000;  ///< Bounds descriptors and memory.
   size_t max_pending = 256;     ///< Unanswered statements of a session.
   size_t max_values = 256;      ///< Values and prepared names of a session.
-  size_t max_waiting = 2'000;   ///< Statements that wait for a link.
   /// Prepared statements on a link before it is reset; bounds its memory.
   size_t max_prepared = 256;
 
--- a/src/interactive/broker.cc
+++ b/src/interactive/broker.cc
@@ -224,9 +224,7 @@
 }
 
 void session_broker::implementation::On(const position_learned& event) {
-  positions_
-      .try_emplace(event.group, position_history(options_.position_retention))
-      .first->second.Add({event.position, event.covers});
+  AddPosition(event.group, {event.position, event.covers});
   dispatch_needed_ = true;
 }
 
--- a/src/interactive/broker_implementation.h
+++ b/src/interactive/broker_implementation.h
@@ -121,6 +121,8 @@
              member_answer answer);
   void OnRunError(session& of, link& on, const member_answer& answer);
   bool RetryLater(session& of, std::string reason);
+  void AddPosition(const std::string& group,
+                   const observed_position& observation);
   void Observe(const link& on,
                const awaited_answer& awaited,
                const member_answer& answer);
@@ -153,8 +155,9 @@
 
   // Order of statements that wait: priority, then arrival.
   using waiting_key = std::tuple<int, time_point, session_id>;
-  void Enqueue(session& of);
-  void Dequeue(session& of);
+  static waiting_key KeyOf(const session& of);
+  void Enqueue(const session& of);
+  void Dequeue(const session& of);
 
   broker_options options_;
   member_pool pool_;
@@ -174,7 +177,6 @@
   // Status calls in flight, by member: the link, and the term of a demotion.
   struct check {
     link_id link = 0;
-    time_point started;
     std::optional<int64_t> demote_term;
   };
   std::map<std::string, check, std::less<>> checks_;
--- a/src/interactive/broker_links.cc
+++ b/src/interactive/broker_links.cc
@@ -111,7 +111,6 @@
   pool_.OnAnswer(*of, now_);
   if (event.answer.position) {
     of->applied = event.answer.position;
-    of->applied_at = now_;
   }
   if (on->check) {
     const std::string id = on->member;
@@ -283,10 +282,14 @@
       !outside_transaction) {
     return;
   }
-  positions_
-      .try_emplace(of.record.group,
-                   position_history(options_.position_retention))
-      .first->second.Add({*answer.position, awaited.sent});
+  AddPosition(of.record.group, {*answer.position, awaited.sent});
+}
+
+void session_broker::implementation::AddPosition(
+    const std::string& group,
+    const observed_position& observation) {
+  positions_.try_emplace(group, position_history(options_.position_retention))
+      .first->second.Add(observation);
 }
 
 bool session_broker::implementation::OnOwnPrimary(const session& of,
@@ -377,7 +380,7 @@
   }
   link& opened = pool_.AddLink(of, "", now_);
   opened.check = true;
-  checks_[of.record.id] = {opened.id, now_, demote_term};
+  checks_[of.record.id] = {opened.id, demote_term};
   actions_.push_back(open_link{opened.id, of.record.id, of.record.address,
                                of.record.group, "", options_.check_limit});
 }
@@ -401,11 +404,9 @@
   if (primary == nullptr) {
     return 0;
   }
-  return static_cast<size_t>(std::count_if(
-      primary->links.begin(), primary->links.end(), [&](link_id id) {
-        const link& each = pool_.links().at(id);
-        return !each.check && each.open && !each.idle();
-      }));
+  return static_cast<size_t>(
+      std::count_if(primary->links.begin(), primary->links.end(),
+                    [&](link_id id) { return pool_.links().at(id).busy(); }));
 }
 
 std::vector<action> session_broker::implementation::StopPrimaryWork(
@@ -422,8 +423,7 @@
     if (const member* const primary = pool_.Find(former)) {
       const std::set<link_id> all = primary->links;
       for (const link_id id : all) {
-        const link& each = *pool_.FindLink(id);
-        if (!each.check && each.open && !each.idle()) {
+        if (pool_.FindLink(id)->busy()) {
           LoseLink(id, "the primary is being replaced");
         }
       }
--- a/src/interactive/broker_statements.cc
+++ b/src/interactive/broker_statements.cc
@@ -302,8 +302,8 @@
 void session_broker::implementation::FinishWork(session& of,
                                                 result_code code,
                                                 std::string reason) {
-  const work ended = std::move(*of.current);
   Dequeue(of);
+  const work ended = std::move(*of.current);
   of.current.reset();
   active_.erase(of.id);
   Note(log_level::kInfo,
@@ -355,17 +355,19 @@
   dispatch_needed_ = true;
 }
 
-void session_broker::implementation::Enqueue(session& of) {
-  waiting_.insert({of.current->settings.priority, of.current->arrived, of.id});
+session_broker::implementation::waiting_key
+session_broker::implementation::KeyOf(const session& of) {
+  return {of.current->settings.priority, of.current->arrived, of.id};
 }
 
-void session_broker::implementation::Dequeue(session& of) {
-  if (!of.current) {
-    return;
+void session_broker::implementation::Enqueue(const session& of) {
+  waiting_.insert(KeyOf(of));
+}
+
+void session_broker::implementation::Dequeue(const session& of) {
+  if (of.current) {
+    waiting_.erase(KeyOf(of));
   }
-  std::erase_if(waiting_, [&](const waiting_key& each) {
-    return std::get<session_id>(each) == of.id;
-  });
 }
 
 }  // namespace tarragondale::interactive
--- a/src/interactive/broker_timers.cc
+++ b/src/interactive/broker_timers.cc
@@ -11,8 +11,10 @@
 // Checks of silent members are at least this far apart.
 constexpr duration kCheckPause = milliseconds(400);
 
-duration Part(duration of, double part) {
-  return duration(static_cast<int64_t>(static_cast<double>(of.count()) * part));
+// Part of a statement's time limit.
+duration Part(const route& settings, double part) {
+  return std::chrono::duration_cast<duration>(settings.statement_timeout *
+                                              part);
 }
 
 }  // namespace
@@ -29,12 +31,8 @@
     if (now_ >= of.current->deadline) {
       EndLateWork(of);
     } else if (of.current->link == 0) {
-      const duration limit =
-          of.current->deadline - of.current->arrived > duration(0)
-              ? std::chrono::duration_cast<duration>(of.current->deadline -
-                                                     of.current->arrived)
-              : duration(0);
-      if (now_ >= of.current->arrived + Part(limit, options_.wait_part)) {
+      if (now_ >= of.current->arrived +
+                      Part(of.current->settings, options_.wait_part)) {
         EndLateWork(of);
       } else {
         dispatch_needed_ = true;
@@ -87,10 +85,9 @@
 // the connection silent for good.
 bool session_broker::implementation::ResendLate(session& of) {
   work& late = *of.current;
-  const duration limit =
-      std::chrono::duration_cast<duration>(late.deadline - late.arrived);
   const bool may_repeat = !of.open && !late.writes;
-  if (!may_repeat || now_ - late.sent < Part(limit, options_.resend_part) ||
+  if (!may_repeat ||
+      now_ - late.sent < Part(late.settings, options_.resend_part) ||
       late.attempts >= options_.max_attempts) {
     return false;
   }
--- a/src/interactive/link.cc
+++ b/src/interactive/link.cc
@@ -2,6 +2,7 @@
 #include "src/interactive/link.h"
 
 #include <fmt/format.h>
+#include <xxhash.h>
 
 #include <algorithm>
 
@@ -10,17 +11,6 @@
 
 using step = member_statement::step;
 
-// FNV-1a; `std::hash` may differ between builds, and names appear in logs.
-uint64_t Hash(std::string_view text) {
-  constexpr uint64_t kOffset = 0xCBF29CE484222325ULL;
-  constexpr uint64_t kPrime = 0x100000001B3ULL;
-  uint64_t value = kOffset;
-  for (const char c : text) {
-    value = (value ^ static_cast<unsigned char>(c)) * kPrime;
-  }
-  return value;
-}
-
 bool HasForeignValue(const link& link, const session& owner) {
   return std::any_of(
       link.values.begin(), link.values.end(),
@@ -30,8 +20,9 @@
 }  // namespace
 
 std::string CommonName(const prepared_statement& statement) {
-  return fmt::format("{}{:016x}", statement.writes ? 'w' : 'r',
-                     Hash(statement.shape));
+  return fmt::format(
+      "{}{:016x}", statement.writes ? 'w' : 'r',
+      XXH3_64bits(statement.shape.data(), statement.shape.size()));
 }
 
 std::vector<member_statement> Synchronise(link& link,
--- a/src/interactive/link.h
+++ b/src/interactive/link.h
@@ -35,6 +35,8 @@
   std::deque<awaited_answer> awaited;
 
   bool idle() const { return open && !check && owner == 0 && awaited.empty(); }
+  /// A statement or transaction of a caller runs on it, or is cleaned up.
+  bool busy() const { return open && !check && !idle(); }
 };
 
 /// @brief Name under which a shape is prepared on every link, so that links
--- a/src/interactive/member_pool.h
+++ b/src/interactive/member_pool.h
@@ -22,8 +22,7 @@
   member_health health;
   time_point retry_at;                       ///< No new connection before.
   time_point open_limit_at;                  ///< The cap was reached until.
-  std::optional<log_position> applied;       ///< Last applied position it told,
-  time_point applied_at;                     ///< at this time.
+  std::optional<log_position> applied;       ///< Last applied position it told.
   std::optional<time_point> lagging_at;      ///< Last answer that it lags.
   duration service_time = milliseconds(15);  ///< Moving average.
   std::set<link_id> links;
