Say in the table of settings which of them a reload puts in force

The daemon had a list of names of its own beside the table that is the only source of names. A test states the list now.

--- a/include/tarragondale/config/settings.h
+++ b/include/tarragondale/config/settings.h
@@ -89,6 +89,8 @@
   std::string_view meaning;
   /// The only edge that uses the setting; empty: all do.
   std::optional<edge_kind> edge = std::nullopt;
+  /// Takes effect at a reload at the line edge; the http edge does not reload.
+  bool live = false;
 };
 
 /// @brief All settings, ordered by section.
--- a/src/config/config_test.cc
+++ b/src/config/config_test.cc
@@ -336,6 +336,21 @@
   EXPECT_EQ(copied, after);
 }
 
+// Guards against a reload that changes what a process told others of itself,
+// or an address that it listens on.
+TEST(SettingsChangeTest, IdentityAndListeningAddressesNeedARestart) {
+  std::vector<std::string> live;
+  for (const setting_info& row : SettingsTable()) {
+    if (row.live) {
+      live.push_back(fmt::format("{}.{}", row.section, row.name));
+    }
+  }
+  EXPECT_EQ(live, (std::vector<std::string>{
+                      "store.endpoints", "log.level", "line.promotion_address",
+                      "line.seed_peers", "line.zones", "line.leaving_ms",
+                      "line.grace_ms", "line.open_files"}));
+}
+
 TEST(KeyTest, OnlyTheGrantedTextIsAccepted) {
   const granted_key granted = *GrantKey("org");
   configuration value;
--- a/src/config/settings_table.cc
+++ b/src/config/settings_table.cc
@@ -18,6 +18,8 @@
 constexpr edge_kind kHttp = edge_kind::kHttp;
 constexpr edge_kind kLine = edge_kind::kLine;
 
+constexpr bool kLive = true;
+
 constexpr std::array kTable = std::to_array<setting_info>({
     {"vm", "name", kName, &settings::vm_name, "", 0, 0,
      "Name of this VM; unique in the fleet."},
@@ -29,7 +31,8 @@
     {"vm", "peer_address", kAddress, &settings::peer_address, "", 0, 0,
      "Where other VMs connect."},
     {"store", "endpoints", kAddressList, &settings::store_endpoints, "", 0, 0,
-     "Addresses of the key-value service, tried in order."},
+     "Addresses of the key-value service, tried in order.", std::nullopt,
+     kLive},
     {"store", "region", kName, &settings::store_region, "", 0, 0,
      "Region of the key-value service; a VM that reaches no VM there and no "
      "store is cut off.",
@@ -66,7 +69,7 @@
     {"admin", "operator_key_digest", kHex32, &settings::operator_key_digest, "",
      0, 0, "SHA-256 of the operator key.", kHttp},
     {"log", "level", kLogLevel, &settings::level, "", 0, 0,
-     "Least severe level that is written."},
+     "Least severe level that is written.", std::nullopt, kLive},
     {"edge", "kind", kEdge, &settings::edge, "", 0, 0,
      "How callers, databases and the platform are met."},
     {"line", "caller_address", kAddress, &settings::caller_address, "", 0, 0,
@@ -75,17 +78,20 @@
      0, "Where the balancer asks for readiness, and metrics are served.",
      kLine},
     {"line", "promotion_address", kAddress, &settings::promotion_address, "", 0,
-     0, "The platform's interface that promotes database members.", kLine},
+     0, "The platform's interface that promotes database members.", kLine,
+     kLive},
     {"line", "seed_peers", kAddressList, &settings::seed_peers, "", 0, 0,
-     "Peer addresses of some VMs, asked while the store gives none.", kLine},
+     "Peer addresses of some VMs, asked while the store gives none.", kLine,
+     kLive},
     {"line", "zones", kZoneList, &settings::zones, "", 0, 0,
-     "All availability zones with their regions.", kLine},
+     "All availability zones with their regions.", kLine, kLive},
     {"line", "leaving_ms", kInteger, &settings::leaving_ms, "ms", 1000, 600000,
-     "A database member that leaves gets no new work after this time.", kLine},
+     "A database member that leaves gets no new work after this time.", kLine,
+     kLive},
     {"line", "grace_ms", kInteger, &settings::grace_ms, "ms", 1000, 600000,
-     "Time from SIGTERM until the process is killed.", kLine},
+     "Time from SIGTERM until the process is killed.", kLine, kLive},
     {"line", "open_files", kInteger, &settings::open_files, "", 256, 1000000,
-     "Descriptors that the process may use.", kLine},
+     "Descriptors that the process may use.", kLine, kLive},
 });
 
 constexpr std::array<std::string_view, 2> kEdges = {"http", "line"};
--- a/src/runtime/line/line_daemon.cc
+++ b/src/runtime/line/line_daemon.cc
@@ -2,7 +2,6 @@
 #include <sys/stat.h>
 
 #include <algorithm>
-#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -84,16 +83,6 @@
   return options;
 }
 
-// Settings that take effect without a restart. The others name this VM, or
-// addresses that it listens on.
-bool IsLive(std::string_view name) {
-  constexpr std::array<std::string_view, 8> kNames = {
-      "store.endpoints",        "log.level",       "line.zones",
-      "line.promotion_address", "line.seed_peers", "line.leaving_ms",
-      "line.grace_ms",          "line.open_files"};
-  return std::find(kNames.begin(), kNames.end(), name) != kNames.end();
-}
-
 leadership::options KeeperOptions(const config::settings& settings) {
   leadership::options options;
   options.self = Registration(settings);
@@ -690,13 +679,11 @@
     std::string after_restart;
     for (const config::setting_info* row :
          config::ChangedSettings(settings_, outcome.value)) {
-      const std::string name = fmt::format("{}.{}", row->section, row->name);
-      if (IsLive(name)) {
+      if (row->live) {
         config::CopySetting(*row, outcome.value, settings_);
-        in_force += " " + name;
-      } else {
-        after_restart += " " + name;
       }
+      (row->live ? in_force : after_restart) +=
+          fmt::format(" {}.{}", row->section, row->name);
     }
     Log(log_level::kInfo, log_part::kConfig,
         "settings are reloaded ({}); in force:{}; only after a restart:{}.",
