--- a/include/tarragondale/config/settings.h
+++ b/include/tarragondale/config/settings.h
@@ -30,6 +30,7 @@
   std::string region;
   std::string http_address;  ///< IP:port for callers and operators.
   std::string peer_address;  ///< IP:port for other VMs.
+  int64_t memory_mb = 256;   ///< Of this VM; tells how much it can carry.
   std::vector<std::string> store_endpoints;  ///< IP:port, tried in order.
   std::string store_region;                  ///< Region of the service.
   int64_t store_timeout_ms = 1000;
--- a/include/tarragondale/interactive.h
+++ b/include/tarragondale/interactive.h
@@ -18,6 +18,7 @@
 #include <vector>
 
 #include "tarragondale/base.h"
+#include "tarragondale/wire.h"
 
 namespace tarragondale::interactive {
 
@@ -250,6 +251,16 @@
   std::string database;
   std::string key;
 };
+/// @brief A session whose caller is connected to another VM, which has checked
+/// its key and keeps its state.
+struct session_hosted {
+  session_id session = 0;
+  std::string database;
+  std::string organisation;
+  std::vector<wire::named_value> values;
+  std::vector<wire::prepared_shape> prepared;
+  log_position written;
+};
 struct caller_sent {
   session_id session = 0;
   caller_statement statement;
@@ -289,6 +300,8 @@
 struct fleet_changed {
   int vms = 1;
   std::map<std::string, int, std::less<>> by_zone;
+  /// VMs that use each database member; 0: all of them.
+  int member_users = 0;
 };
 /// @brief An observation of a primary's log by another VM: every commit
 /// acknowledged before `covers` is at or before `position`.
@@ -297,12 +310,14 @@
   log_position position;
   time_point covers;
 };
-/// @brief Operations that another VM admitted for an organisation.
+/// @brief Operations that another VM, or those it speaks for, admitted for an
+/// organisation.
 struct usage_learned {
   std::string organisation;
   double operations = 0;    ///< Since its last report.
   double demand_per_s = 0;  ///< Its present demand.
   std::string vm;
+  int counted_vms = 1;  ///< VMs whose operations the report counts.
 };
 /// @brief Asks a member for its status; answered by `member_checked`.
 struct check_member {
@@ -321,6 +336,7 @@
 struct tick {};
 
 using event = std::variant<caller_opened,
+                           session_hosted,
                            caller_sent,
                            caller_closed,
                            link_opened,
--- a/include/tarragondale/leadership.h
+++ b/include/tarragondale/leadership.h
@@ -12,6 +12,10 @@
 // may go on: a VM extends its right by `extension_lifetime` from the time for
 // which it knows of every other VM that this one knows of no change. A VM that
 // others may not know of yet waits longer before it promotes.
+//
+// In a large fleet a VM hears a few relays only (relay.h). A relay vouches for
+// its followers: which of them gave a right up, and that all VMs of a zone were
+// heard to know of no change.
 #ifndef TARRAGONDALE_LEADERSHIP_H_
 #define TARRAGONDALE_LEADERSHIP_H_
 
@@ -56,6 +60,7 @@
   /// By group: the VM gave its rights below this epoch up. Written when the VM
   /// with the duty can't be told directly.
   std::map<std::string, int64_t> stopped = {};
+  int64_t capacity = 1;  ///< Work that the VM can carry, beside others.
 
   bool operator==(const vm_registration&) const = default;
 };
@@ -78,6 +83,9 @@
 std::string PrimaryPrefix();
 std::string VmPrefix();
 
+/// @brief Hash of a set of VM names, in the order of a map.
+uint64_t HashOfVms(const std::vector<std::string_view>& names);
+
 std::string EncodePrimary(const primary_record& record);
 std::string EncodeVm(const vm_registration& record);
 std::string EncodeDuty(const duty_record& record);
@@ -134,6 +142,13 @@
   promotion_result result = promotion_result::kUnknown;
   std::string reason;
 };
+/// @brief Whether this VM relays, or follows one that does.
+struct relay_changed {
+  bool relays = true;
+  int rank = 0;  ///< Among the relays; the first one reads the records.
+
+  bool operator==(const relay_changed&) const = default;
+};
 /// @brief This VM shuts down: it gives the duty up.
 struct drain_started {};
 /// @brief No session is left: it gives up all rights and its registration.
@@ -148,6 +163,7 @@
                            digest_arrived,
                            member_checked,
                            promotion_answered,
+                           relay_changed,
                            drain_started,
                            leave_started,
                            tick>;
@@ -167,8 +183,10 @@
   std::string group;
   int64_t epoch = 0;
 };
-/// @brief Send a digest to all VMs now instead of with the next interval.
-struct send_digests {};
+/// @brief Send digests now instead of with the next interval.
+struct send_digests {
+  bool to_followers = false;  ///< Also to VMs that follow this one.
+};
 struct check_member {
   std::string member;
 };
@@ -212,9 +230,13 @@
   /// Taken off every right for clocks that run at different speeds.
   duration right_margin = milliseconds(300);
   duration confirm_interval = milliseconds(1'000);
-  /// A VM without the duty reads the records itself only if no other VM told it
-  /// of a read that is newer than this.
+  /// A relay reads the records itself only if no other VM told it of a read
+  /// that is newer than this: the first relay after `confirm_interval`, each
+  /// further one later by a step.
+  duration confirm_step = milliseconds(250);
   duration relayed_confirm_limit = milliseconds(1'800);
+  /// The same for a VM that follows a relay.
+  duration follower_confirm_limit = milliseconds(2'300);
   /// Bounds rights without the store, so longer than its usual outages.
   duration registration_lifetime = milliseconds(15'000);
   duration registration_interval = milliseconds(3'000);
@@ -227,6 +249,13 @@
   /// A primary is suspected after its connections failed for this long.
   duration suspicion = milliseconds(450);
   int suspicion_failures = 2;
+  /// The duty's holder is told directly of rights that were given up if it was
+  /// heard, through relays too, within this.
+  duration duty_silence = milliseconds(2'500);
+  /// A VM that relays claims a free duty first, and one that is registered for
+  /// longer than others need to know of it before one that is not.
+  duration follower_claim_delay = milliseconds(700);
+  duration young_claim_delay = milliseconds(300);
   /// Digests older than this say nothing on a member's health.
   duration report_lifetime = milliseconds(1'500);
   /// How long the directory must name another primary than the record: entries
@@ -266,6 +295,15 @@
   primary_record record;
   int64_t stopped_epoch = 0;  ///< No right below this epoch is held.
   bool changing = false;  ///< This VM is about to have the primary replaced.
+  int64_t followers_reaching = 0;  ///< Followers that reach the primary.
+  int64_t followers_failing = 0;   ///< Followers that can't.
+};
+
+/// @brief What a VM knows of others and passes on.
+struct vouched {
+  std::vector<wire::stop_notice> stops;
+  std::vector<wire::zone_coverage> coverage;
+  int64_t duty_age_ms = -1;  ///< See `wire::fleet_digest`.
 };
 
 /// @brief Rights to use primaries, and their change. A deterministic state
@@ -283,9 +321,18 @@
   /// @brief By group, for digests.
   std::map<std::string, group_state, std::less<>> Groups() const;
 
-  /// @brief When the read of the newest confirmation was sent; empty: never.
+  /// @brief For digests.
+  /// @param relayed Include notices that other relays sent.
+  vouched Vouched(time_point now, bool relayed) const;
+
+  /// @brief When the read of the newest confirmation was sent, by this VM or by
+  /// one that told it so; empty: never.
   std::optional<time_point> confirmed_at() const;
 
+  /// @brief Whether rights depend on digests, since the records were not read
+  /// for a while: digests are to be more frequent then.
+  bool NeedsDigests(time_point now) const;
+
   /// @brief Of this process; higher than that of earlier ones of this VM.
   int64_t incarnation() const;
 
--- a/include/tarragondale/wire.h
+++ b/include/tarragondale/wire.h
@@ -235,6 +235,9 @@
   int64_t position_age_ms = -1;  ///< observed this long ago; -1: none.
   int64_t answer_age_ms = -1;    ///< The primary last answered; -1: never.
   int64_t failing_ms = -1;  ///< Connections to it fail since; -1: they don't.
+  /// Followers of the sender that reach the primary, and that don't.
+  int64_t followers_reaching = 0;
+  int64_t followers_failing = 0;
 
   bool operator==(const primary_state&) const = default;
 };
@@ -248,61 +251,190 @@
   bool operator==(const organisation_usage&) const = default;
 };
 
-/// @brief Periodic state of a VM, to each other VM.
+/// @brief Whose operations the usage in a digest counts.
+enum class usage_scope : uint8_t {
+  kOwn,        ///< The sender's.
+  kFollowers,  ///< The sender's and its followers'.
+  kFleet,      ///< Those of all VMs but the receiver.
+};
+
+/// @brief A follower of the sender gave up its rights below `epoch`.
+struct stop_notice {
+  std::string vm;
+  int64_t incarnation = 0;
+  std::string group;
+  int64_t epoch = 0;
+
+  bool operator==(const stop_notice&) const = default;
+};
+
+/// @brief All VMs that are registered in a zone were heard, and none of them
+/// knew of a record other than those in the same digest, or was about to change
+/// one, `age_ms` ago; the groups in `except` left out.
+struct zone_coverage {
+  std::string availability_zone;
+  uint64_t vms_hash = 0;  ///< Of the names; see `leadership::HashOfVms`.
+  int64_t age_ms = 0;
+  std::vector<std::string> except;
+
+  bool operator==(const zone_coverage&) const = default;
+};
+
+/// @brief Periodic state of a VM. A VM that follows a relay sends it its own
+/// state; a relay sends what it knows of its followers and of other relays.
 struct fleet_digest {
   uint64_t sequence = 0;  ///< Rises with each digest to the receiver.
   uint64_t echo = 0;      ///< Newest sequence received from the receiver.
   int64_t incarnation = 0;
   std::string peer_address;    ///< Of the sender, for VMs that don't know it.
+  bool watching = false;       ///< The sender watches the store itself
+  bool reaches_store = false;  ///< and got an answer to its last call.
+  bool follows = false;  ///< The sender takes the store's changes from the
+                         ///< receiver.
   int64_t store_revision = 0;  ///< Changes up to here are known to the sender.
   bool leaving = false;  ///< The sender holds no rights any more and ends.
-  int64_t configuration_version = 0;
-  int64_t directory_revision = 0;  ///< Of the sender's list of members.
   /// The sender's newest linearizable read of all primaries' records was sent
   /// this long ago; -1: never.
   int64_t confirmed_age_ms = -1;
+  /// Age of the newest digest of the VM with the duty, directly or through
+  /// others; -1: none.
+  int64_t duty_age_ms = -1;
   std::vector<primary_state> primaries;
+  usage_scope scope = usage_scope::kOwn;
+  int64_t counted_vms = 1;  ///< VMs whose operations `usage` counts.
   std::vector<organisation_usage> usage;
+  std::vector<stop_notice> stops;
+  std::vector<zone_coverage> coverage;
 
   bool operator==(const fleet_digest&) const = default;
 };
 
-/// @brief Asks for the sender's configuration if it is newer than `version`.
-struct configuration_request {
-  int64_t version = 0;
+/// @brief Asks for the changes of the store that the receiver knows after
+/// `revision`.
+struct store_request {
+  int64_t revision = 0;
 
-  bool operator==(const configuration_request&) const = default;
+  bool operator==(const store_request&) const = default;
 };
 
-/// @brief A configuration as it lies in the store.
-struct configuration_copy {
-  int64_t version = 0;
-  std::string value;
+/// @brief A key of the store as it was written or removed.
+struct store_entry {
+  std::string key;
+  std::string value;  ///< Empty if it was removed.
+  int64_t revision = 0;
+  bool removed = false;
+  bool packed = false;  ///< The value is compressed (zstd).
 
-  bool operator==(const configuration_copy&) const = default;
+  bool operator==(const store_entry&) const = default;
 };
 
-/// @brief Asks for the sender's list of members if it is newer than `revision`.
-struct directory_request {
+/// @brief What the sender knows of the store at `revision`: all keys, or the
+/// changes after the revision `after`.
+struct store_changes {
+  bool complete = false;
+  int64_t after = 0;
   int64_t revision = 0;
+  std::vector<store_entry> entries;
 
-  bool operator==(const directory_request&) const = default;
+  bool operator==(const store_changes&) const = default;
 };
 
-/// @brief One entry of the list of members as it lies in the store.
-struct directory_entry {
-  std::string key;
+struct named_value {
+  std::string name;
   std::string value;
 
-  bool operator==(const directory_entry&) const = default;
+  bool operator==(const named_value&) const = default;
 };
 
-/// @brief All entries of the list of members at a revision of the store.
-struct directory_copy {
-  int64_t revision = 0;
-  std::vector<directory_entry> entries;
+struct prepared_shape {
+  std::string name;
+  std::string shape;
+  bool writes = false;
+
+  bool operator==(const prepared_shape&) const = default;
+};
+
+/// @brief Names one stay of a session at a host.
+struct hosting_id {
+  int64_t incarnation = 0;  ///< Of the process that the caller is connected to.
+  uint64_t session = 0;     ///< Of that process.
+  uint64_t stay = 0;        ///< Rises each time the session moves to a host.
+
+  auto operator<=>(const hosting_id&) const = default;
+};
+
+/// @brief From the VM that a caller is connected to: run its session, in this
+/// state. The key was checked there and stays there.
+struct hosted_open {
+  hosting_id id;
+  std::string database;
+  std::string organisation;  ///< Empty on routes that need no key.
+  std::vector<named_value> values;
+  std::vector<prepared_shape> prepared;
+  log_position written;  ///< The session's reads must see this position.
+
+  bool operator==(const hosted_open&) const = default;
+};
+
+/// @brief A statement of a hosted session. Sequences begin at 1 in each stay.
+struct hosted_statement {
+  hosting_id id;
+  uint64_t sequence = 0;
+  std::string statement;  ///< The caller's id of it.
+  int64_t kind = 0;       ///< `interactive::statement_kind`.
+  std::string text;
+  std::string name;
+  std::string argument;
+  bool writes = false;
+
+  bool operator==(const hosted_statement&) const = default;
+};
+
+/// @brief The caller left, or its session moved.
+struct hosted_close {
+  hosting_id id;
+
+  bool operator==(const hosted_close&) const = default;
+};
+
+/// @brief The answer to the statement `sequence`.
+struct hosted_answer {
+  hosting_id id;
+  uint64_t sequence = 0;
+  result_code code = result_code::kOk;
+  std::string reason;
+  std::vector<std::string> rows;
+  std::string signature;
+  int64_t state = 0;  ///< `interactive::transaction_state`.
+  std::optional<log_position> position;
+  bool close = false;
+
+  bool operator==(const hosted_answer&) const = default;
+};
+
+/// @brief The host has no such session (any more).
+struct hosted_ended {
+  hosting_id id;
+  bool known = false;    ///< This process had it: statements after `handled`
+  uint64_t handled = 0;  ///< have not run and will not.
+  uint64_t refused = 0;  ///< This statement has not run; 0: none is meant.
+  bool closed = false;   ///< The host takes no sessions at present.
+
+  bool operator==(const hosted_ended&) const = default;
+};
+
+/// @brief Asks whether the host still has the session; it answers with
+/// `host_alive` or `hosted_ended`.
+struct host_check {
+  hosting_id id;
+
+  bool operator==(const host_check&) const = default;
+};
+
+struct host_alive {
+  hosting_id id;
 
-  bool operator==(const directory_copy&) const = default;
+  bool operator==(const host_alive&) const = default;
 };
 
 /// @brief All message bodies; the index in the variant is the type's number.
@@ -317,10 +449,15 @@
                                   reach_request,
                                   reach_answer,
                                   fleet_digest,
-                                  configuration_request,
-                                  configuration_copy,
-                                  directory_request,
-                                  directory_copy>;
+                                  store_request,
+                                  store_changes,
+                                  hosted_open,
+                                  hosted_statement,
+                                  hosted_close,
+                                  hosted_answer,
+                                  hosted_ended,
+                                  host_check,
+                                  host_alive>;
 
 struct message {
   std::string sender;  ///< Name of the VM that sent it.
--- a/scripts/dependencies.sh
+++ b/scripts/dependencies.sh
@@ -7,7 +7,7 @@
   clang-tidy curl libboost-dev libboost-system-dev libtbb-dev libnng-dev
   libmsgpack-cxx-dev nlohmann-json3-dev libpq-dev libsqlite3-dev libdocopt-dev
   libfmt-dev libinih-dev libssl-dev libgtest-dev libgmock-dev
-  librapidcheck-dev libbenchmark-dev libxxhash-dev spin
+  librapidcheck-dev libbenchmark-dev libxxhash-dev libzstd-dev spin
 )
 missing=()
 for package in "${packages[@]}"; do
--- a/src/config/settings_table.cc
+++ b/src/config/settings_table.cc
@@ -30,6 +30,8 @@
      "Where callers and operators connect.", kHttp},
     {"vm", "peer_address", kAddress, &settings::peer_address, "", 0, 0,
      "Where other VMs connect."},
+    {"vm", "memory_mb", kInteger, &settings::memory_mb, "MB", 1, 1048576,
+     "Memory of this VM. Larger VMs relay for smaller ones.", kLine},
     {"store", "endpoints", kAddressList, &settings::store_endpoints, "", 0, 0,
      "Addresses of the key-value service, tried in order.", std::nullopt,
      kLive},
--- /dev/null
+++ b/src/hosting/forwarder.cc
@@ -0,0 +1,499 @@
+// Sessions of this VM's callers that other VMs run.
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "tarragondale/hosting.h"
+
+namespace tarragondale::hosting {
+
+using interactive::session_id;
+using interactive::statement_kind;
+using interactive::transaction_state;
+
+namespace {
+
+constexpr duration kSweepInterval = milliseconds(30);
+constexpr uint64_t kAll = UINT64_MAX;
+
+}  // namespace
+
+// --- Callers ---
+
+bool forwarder::Open(time_point now, const interactive::caller_opened& event) {
+  const bool leaves =
+      draining_since_ && now - *draining_since_ > options_.drain_notice;
+  if (!catalogue_ || leaves || sessions_.size() >= options_.max_sessions) {
+    return false;
+  }
+  session opened;
+  opened.database = event.database;
+  opened.key = event.key;
+  const interactive::route* const route = RouteOf(opened);
+  if (route == nullptr || !HasAccess(opened)) {
+    return false;
+  }
+  if (!route->open) {
+    opened.organisation = catalogue_->key_owners.find(event.key)->second;
+  }
+  if (plan_.HostsOf(route->group, opened.organisation).empty()) {
+    return false;
+  }
+  sessions_[event.session] = std::move(opened);
+  actions_.emplace_back(interactive::accept_caller{event.session});
+  return true;
+}
+
+bool forwarder::Send(time_point now, const interactive::caller_sent& event) {
+  const auto found = sessions_.find(event.session);
+  if (found == sessions_.end()) {
+    return false;
+  }
+  session& of = found->second;
+  if (of.waiting.size() >= options_.max_pending) {
+    actions_.emplace_back(interactive::close_caller{event.session});
+    EndSession(event.session);
+    return true;
+  }
+  outstanding added;
+  added.statement = event.statement;
+  added.arrived = now;
+  added.writes = MayWrite(of, event.statement);
+  of.waiting.push_back(std::move(added));
+  active_.insert(event.session);
+  next_sweep_ = std::min(next_sweep_, now + kSweepInterval);
+  SendWaiting(now, event.session);
+  return true;
+}
+
+bool forwarder::Close(time_point /*now*/, session_id session) {
+  const bool known = sessions_.contains(session);
+  EndSession(session);
+  return known;
+}
+
+const interactive::route* forwarder::RouteOf(const session& of) const {
+  const auto found = catalogue_->routes.find(of.database);
+  return found == catalogue_->routes.end() ? nullptr : &found->second;
+}
+
+bool forwarder::HasAccess(const session& of) const {
+  const interactive::route* const route = RouteOf(of);
+  return route == nullptr || route->open ||
+         catalogue_->key_owners.contains(of.key);
+}
+
+// Whether a statement changes data if it runs twice. A prepared name that is
+// not known yet, since its preparing is under way, may.
+bool forwarder::MayWrite(const session& of,
+                         const interactive::caller_statement& statement) const {
+  switch (statement.kind) {
+    case statement_kind::kWrite:
+    case statement_kind::kCommit:
+      return true;
+    case statement_kind::kExecute: {
+      const auto known = of.prepared.find(statement.name);
+      return known == of.prepared.end() || known->second.writes;
+    }
+    default:
+      return false;
+  }
+}
+
+// --- Hosts ---
+
+wire::hosting_id forwarder::IdOf(session_id id, const session& of) const {
+  return {incarnation_, id, of.stay};
+}
+
+forwarder::session* forwarder::Find(const wire::hosting_id& id) {
+  const auto found = sessions_.find(id.session);
+  if (found == sessions_.end() || id.incarnation != incarnation_ ||
+      found->second.stay != id.stay || found->second.host.empty()) {
+    return nullptr;
+  }
+  return &found->second;
+}
+
+std::optional<std::string> forwarder::ChooseHost(time_point now,
+                                                 const session& of) {
+  const interactive::route* const route = RouteOf(of);
+  if (route == nullptr) {
+    return std::nullopt;
+  }
+  std::erase_if(avoided_, [&](const auto& each) { return now >= each.second; });
+  const auto hosts = plan_.HostsOf(route->group, of.organisation);
+  for (const std::string& host : hosts) {
+    if (!avoided_.contains(host)) {
+      return host;
+    }
+  }
+  // A small fleet needs no hosts, and a lost one may be back.
+  return hosts.empty() ? self_ : hosts.front();
+}
+
+void forwarder::MoveIn(time_point now, session_id id, session& of) {
+  const auto host = ChooseHost(now, of);
+  of.host = host.value_or(self_);
+  ++of.stay;
+  of.last_sequence = 0;
+  of.heard = now;
+  wire::hosted_open open{IdOf(id, of), of.database, of.organisation,
+                         {},           {},          of.seen};
+  for (const auto& [name, value] : of.values) {
+    open.values.push_back({name, value});
+  }
+  for (const auto& [name, shape] : of.prepared) {
+    open.prepared.push_back(shape);
+  }
+  actions_.emplace_back(send_message{of.host, std::move(open)});
+}
+
+// What was sent and not answered counts as not sent from now on.
+void forwarder::Leave(session_id id, session& of) {
+  if (of.host.empty()) {
+    return;
+  }
+  actions_.emplace_back(
+      send_message{of.host, wire::hosted_close{IdOf(id, of)}});
+  of.host.clear();
+  for (outstanding& each : of.waiting) {
+    each.sequence = 0;
+  }
+}
+
+void forwarder::SendWaiting(time_point now, session_id id) {
+  session& of = sessions_.at(id);
+  while (!of.waiting.empty() && of.host.empty() &&
+         of.state != transaction_state::kIdle) {
+    if (!AnswerWithoutHost(id, of)) {
+      return;
+    }
+  }
+  for (size_t i = 0; i < of.waiting.size(); ++i) {
+    if (of.waiting[i].sequence != 0) {
+      continue;
+    }
+    if (!HasAccess(of)) {
+      // What was sent before is answered first.
+      if (i == 0) {
+        Fail(id, result_code::kKeyInvalid,
+             fmt::format("the key was withdrawn; version {}",
+                         catalogue_->version));
+      }
+      return;
+    }
+    if (of.host.empty()) {
+      MoveIn(now, id, of);
+    }
+    outstanding& next = of.waiting[i];
+    next.sequence = ++of.last_sequence;
+    next.sent = now;
+    const interactive::caller_statement& statement = next.statement;
+    actions_.emplace_back(send_message{
+        of.host, wire::hosted_statement{
+                     IdOf(id, of), next.sequence, statement.id,
+                     static_cast<int64_t>(statement.kind), statement.text,
+                     statement.name, statement.argument, statement.writes}});
+  }
+  if (of.waiting.empty()) {
+    active_.erase(id);
+  }
+}
+
+// The transaction was lost with its host, and so is rolled back. False if that
+// ended the session.
+bool forwarder::AnswerWithoutHost(session_id id, session& of) {
+  if (of.waiting.front().statement.kind != statement_kind::kRollback) {
+    Fail(id, result_code::kTransactionAborted,
+         "the VM that ran the transaction gave it up");
+    return false;
+  }
+  of.state = transaction_state::kIdle;
+  of.waiting.pop_front();
+  actions_.emplace_back(interactive::answer_caller{.session = id});
+  return true;
+}
+
+void forwarder::OnSendFailed(time_point now, const send_message& message) {
+  const auto again = [&](session& of) {
+    of.retry_at = now + options_.send_retry;
+    if (++of.failed_sends >= options_.send_attempts) {
+      of.failed_sends = 0;
+      avoided_[message.vm] = now + options_.avoid_lost;
+    }
+  };
+  if (const auto* open = std::get_if<wire::hosted_open>(&message.body)) {
+    if (session* const of = Find(open->id)) {
+      of->host.clear();
+      for (outstanding& each : of->waiting) {
+        each.sequence = 0;
+      }
+      again(*of);
+    }
+  } else if (const auto* sent =
+                 std::get_if<wire::hosted_statement>(&message.body)) {
+    session* const of = Find(sent->id);
+    // The host notices if a later one reaches it.
+    if (of != nullptr && sent->sequence == of->last_sequence &&
+        !of->waiting.empty() && of->waiting.back().sequence == sent->sequence) {
+      of->waiting.back().sequence = 0;
+      --of->last_sequence;
+      again(*of);
+    }
+  }
+}
+
+void forwarder::OnMessage(time_point now,
+                          const std::string& vm,
+                          const wire::message_body& body) {
+  if (const auto* answer = std::get_if<wire::hosted_answer>(&body)) {
+    OnAnswer(now, *answer);
+  } else if (const auto* ended = std::get_if<wire::hosted_ended>(&body)) {
+    OnEnded(now, vm, *ended);
+  } else if (const auto* alive = std::get_if<wire::host_alive>(&body)) {
+    if (session* const of = Find(alive->id)) {
+      of->heard = now;
+    }
+  }
+}
+
+void forwarder::OnAnswer(time_point now, const wire::hosted_answer& answer) {
+  session* const found = Find(answer.id);
+  if (found == nullptr || found->waiting.empty() ||
+      found->waiting.front().sequence != answer.sequence || answer.state < 0 ||
+      answer.state > static_cast<int64_t>(transaction_state::kFailed)) {
+    return;
+  }
+  session& of = *found;
+  const session_id id = answer.id.session;
+  of.heard = now;
+  of.failed_sends = 0;
+  const outstanding done = std::move(of.waiting.front());
+  of.waiting.pop_front();
+  of.state = static_cast<transaction_state>(answer.state);
+  if (answer.position) {
+    of.seen = std::max(of.seen, *answer.position);
+  }
+  const bool ok = answer.code == result_code::kOk;
+  const interactive::caller_statement& statement = done.statement;
+  if (ok && statement.kind == statement_kind::kSet) {
+    of.values[statement.name] = statement.argument;
+  } else if (ok && statement.kind == statement_kind::kPrepare) {
+    of.prepared[statement.name] = {statement.name, statement.argument,
+                                   statement.writes};
+  } else if (ok && statement.kind == statement_kind::kDeallocate) {
+    of.prepared.erase(statement.name);
+  }
+  const bool leaves =
+      draining_since_ && now - *draining_since_ > options_.drain_notice &&
+      of.state == transaction_state::kIdle && of.waiting.empty();
+  interactive::answer_caller told{.session = id,
+                                  .code = answer.code,
+                                  .reason = answer.reason,
+                                  .rows = answer.rows,
+                                  .signature = answer.signature,
+                                  .state = of.state,
+                                  .position = answer.position};
+  // A host that shuts down closes after an answer; the session moves on.
+  told.close = leaves || (answer.close && !ok);
+  const bool close = told.close;
+  actions_.emplace_back(std::move(told));
+  if (close) {
+    return EndSession(id);
+  }
+  if (answer.close) {
+    Leave(id, of);
+  }
+  SendWaiting(now, id);
+}
+
+void forwarder::OnEnded(time_point now,
+                        const std::string& vm,
+                        const wire::hosted_ended& ended) {
+  if (ended.closed) {
+    avoided_[vm] = now + options_.avoid_lost;
+  }
+  session* const found = Find(ended.id);
+  if (found == nullptr || found->host != vm) {
+    return;
+  }
+  uint64_t not_run_from = kAll;
+  if (ended.known) {
+    not_run_from = ended.handled + 1;
+  } else if (ended.refused != 0 && !found->waiting.empty() &&
+             found->waiting.front().sequence == ended.refused) {
+    not_run_from = ended.refused;
+  }
+  EndAfter(now, ended.id.session, not_run_from, "its host gave it up");
+}
+
+// The session is at no host any more. Statements before `not_run_from` may
+// have run.
+void forwarder::EndAfter(time_point now,
+                         session_id id,
+                         uint64_t not_run_from,
+                         std::string_view reason) {
+  session& of = sessions_.at(id);
+  const bool may_have_written = std::any_of(
+      of.waiting.begin(), of.waiting.end(), [&](const outstanding& each) {
+        return each.writes && each.sequence != 0 &&
+               each.sequence < not_run_from;
+      });
+  actions_.emplace_back(interactive::decision_note{
+      log_level::kInfo,
+      fmt::format("session {} leaves VM {}: {}; {} statements wait", id,
+                  of.host, reason, of.waiting.size())});
+  if (may_have_written) {
+    // A write within a transaction is undone unless its commit may have run.
+    const bool commits = std::any_of(
+        of.waiting.begin(), of.waiting.end(), [&](const outstanding& each) {
+          return each.statement.kind == statement_kind::kCommit &&
+                 each.sequence != 0 && each.sequence < not_run_from;
+        });
+    const bool undone = of.state == transaction_state::kOpen && !commits;
+    return Fail(id,
+                undone ? result_code::kTransactionAborted
+                       : result_code::kUnknownConnectionLost,
+                std::string(reason));
+  }
+  Leave(id, of);
+  SendWaiting(now, id);
+}
+
+void forwarder::OnHostLost(time_point now, session_id id, session& of) {
+  avoided_[of.host] = now + options_.avoid_lost;
+  const bool may_repeat =
+      of.state == transaction_state::kIdle &&
+      std::none_of(of.waiting.begin(), of.waiting.end(),
+                   [](const outstanding& each) {
+                     return each.writes && each.sequence != 0;
+                   });
+  if (may_repeat) {
+    EndAfter(now, id, kAll, "its host does not answer");
+  }
+  // Otherwise the host may only be slow, and is awaited until the time limit.
+}
+
+void forwarder::Fail(session_id id, result_code code, std::string reason) {
+  const session& of = sessions_.at(id);
+  if (!of.waiting.empty()) {
+    actions_.emplace_back(interactive::decision_note{
+        log_level::kInfo,
+        fmt::format("statement {} of session {}, organisation {}, at VM {:?} "
+                    "ends as {}: {}",
+                    of.waiting.front().statement.id, id, of.organisation,
+                    of.host, InfoOf(code).name, reason)});
+    actions_.emplace_back(
+        interactive::answer_caller{.session = id,
+                                   .code = code,
+                                   .reason = std::move(reason),
+                                   .close = true});
+  } else {
+    actions_.emplace_back(interactive::close_caller{id});
+  }
+  EndSession(id);
+}
+
+void forwarder::EndSession(session_id id) {
+  const auto found = sessions_.find(id);
+  if (found == sessions_.end()) {
+    return;
+  }
+  Leave(id, found->second);
+  active_.erase(id);
+  sessions_.erase(found);
+}
+
+// --- Time ---
+
+std::optional<time_point> forwarder::NextDeadline() const {
+  if (active_.empty() && !draining_since_) {
+    return std::nullopt;
+  }
+  return next_sweep_;
+}
+
+void forwarder::OnTick(time_point now) {
+  if (now < next_sweep_) {
+    return;
+  }
+  next_sweep_ = now + kSweepInterval;
+  const std::vector<session_id> waiting(active_.begin(), active_.end());
+  for (const session_id id : waiting) {
+    if (sessions_.contains(id)) {
+      Sweep(now, id);
+    }
+  }
+  if (draining_since_) {
+    SweepDrain(now);
+  }
+}
+
+void forwarder::Sweep(time_point now, session_id id) {
+  session& of = sessions_.at(id);
+  if (of.waiting.empty()) {
+    return;
+  }
+  const outstanding& first = of.waiting.front();
+  const interactive::route* const route = RouteOf(of);
+  const duration limit =
+      (route == nullptr ? duration(seconds(1)) : route->statement_timeout) +
+      options_.answer_margin;
+  if (now - first.arrived > limit) {
+    const bool commits = std::any_of(
+        of.waiting.begin(), of.waiting.end(), [](const outstanding& each) {
+          return each.statement.kind == statement_kind::kCommit &&
+                 each.sequence != 0;
+        });
+    const bool undone = of.state == transaction_state::kOpen && !commits;
+    result_code code = result_code::kUnknownTimeout;
+    if (first.sequence == 0) {
+      code = result_code::kDeadlineBeforeStart;
+    } else if (undone) {
+      code = result_code::kTransactionAborted;
+    }
+    return Fail(id, code, "its host did not answer in time");
+  }
+  if (std::any_of(of.waiting.begin(), of.waiting.end(),
+                  [](const outstanding& each) { return each.sequence == 0; })) {
+    if (now >= of.retry_at) {
+      SendWaiting(now, id);
+    }
+    return;
+  }
+  const time_point heard = std::max(of.heard, first.sent);
+  if (now - heard > options_.host_silence) {
+    return OnHostLost(now, id, of);
+  }
+  if (now - heard > options_.check_after &&
+      now - of.checked > options_.check_after) {
+    of.checked = now;
+    actions_.emplace_back(
+        send_message{of.host, wire::host_check{IdOf(id, of)}});
+  }
+}
+
+void forwarder::SweepDrain(time_point now) {
+  const duration since =
+      std::chrono::duration_cast<duration>(now - *draining_since_);
+  std::vector<session_id> ends;
+  for (auto& [id, of] : sessions_) {
+    const bool idle = of.waiting.empty();
+    const bool open = of.state != transaction_state::kIdle;
+    if (idle && open && since > options_.drain_transactions) {
+      Leave(id, of);
+    }
+    if ((idle && !open && since > options_.drain_notice) ||
+        since > options_.drain_limit) {
+      ends.push_back(id);
+    }
+  }
+  for (const session_id id : ends) {
+    actions_.emplace_back(interactive::close_caller{id});
+    EndSession(id);
+  }
+}
+
+}  // namespace tarragondale::hosting
--- /dev/null
+++ b/src/hosting/hosting_test.cc
@@ -0,0 +1,609 @@
+// Tests of hosted sessions: several VMs in virtual time, with a network that
+// delays, loses and refuses messages, and a broker that answers.
+#include "tarragondale/hosting.h"
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <random>
+
+namespace tarragondale::hosting {
+namespace {
+
+using interactive::answer_caller;
+using interactive::caller_statement;
+using interactive::statement_kind;
+using interactive::transaction_state;
+
+std::vector<relay::vm> Fleet(int vms, int large) {
+  std::vector<relay::vm> fleet;
+  for (int i = 0; i < vms; ++i) {
+    fleet.push_back({fmt::format("vm-{}", i), fmt::format("z{}", i % 6),
+                     i % 2 == 0 ? "north" : "south", i < large ? 512 : 160});
+  }
+  return fleet;
+}
+
+wire::hosted_open Opening() {
+  wire::hosted_open open;
+  open.id = {1, 1, 1};
+  open.database = "db";
+  return open;
+}
+
+wire::hosted_answer Answer(wire::hosting_id id, uint64_t sequence) {
+  wire::hosted_answer answer;
+  answer.id = id;
+  answer.sequence = sequence;
+  return answer;
+}
+
+// --- Placement ---
+
+TEST(HostPlanTest, SmallFleetsHostNothingElsewhere) {
+  host_plan plan("vm-0");
+  plan.SetFleet(Fleet(16, 16));
+  EXPECT_TRUE(plan.HostsOf("g", "red").empty());
+  EXPECT_EQ(plan.member_users(), 0);
+}
+
+TEST(HostPlanTest, VmsOfARegionAgreeOnLargeHosts) {
+  const auto fleet = Fleet(195, 18);
+  std::map<std::string, std::vector<std::string>> by_region;
+  for (const relay::vm& each : fleet) {
+    host_plan plan(each.name);
+    plan.SetFleet(fleet);
+    const auto hosts = plan.HostsOf("orders-7", "red");
+    ASSERT_EQ(hosts.size(), host_plan::kHosts + host_plan::kSubstitutes);
+    auto& known = by_region.try_emplace(each.region, hosts).first->second;
+    EXPECT_EQ(known, hosts);
+    for (const std::string& host : hosts) {
+      EXPECT_LT(std::stoi(host.substr(3)), 18) << host;
+    }
+    EXPECT_EQ(plan.member_users(), 4);
+  }
+  EXPECT_EQ(by_region.size(), 2U);
+}
+
+// Each member is used by few VMs, whatever the organisation.
+TEST(HostPlanTest, OrganisationsShareTheHostsOfAGroup) {
+  host_plan plan("vm-0");
+  plan.SetFleet(Fleet(195, 18));
+  std::map<std::string, int> hosts;
+  for (int i = 0; i < 140; ++i) {
+    ++hosts[plan.HostsOf("orders-7", fmt::format("org-{}", i)).front()];
+  }
+  ASSERT_EQ(hosts.size(), host_plan::kHosts);
+  for (const auto& [host, organisations] : hosts) {
+    EXPECT_GT(organisations, 35) << host;
+  }
+}
+
+TEST(HostPlanTest, GroupsAreSpreadOverTheHosts) {
+  host_plan plan("vm-0");
+  plan.SetFleet(Fleet(195, 18));
+  std::map<std::string, int> groups;
+  for (int i = 0; i < 200; ++i) {
+    for (size_t place = 0; place < host_plan::kHosts; ++place) {
+      ++groups[plan.HostsOf(fmt::format("g{}", i), "red")[place]];
+    }
+  }
+  EXPECT_EQ(groups.size(), 9U);
+  for (const auto& [host, count] : groups) {
+    EXPECT_LT(count, 2 * 400 / 9) << host;
+  }
+}
+
+// --- Sessions ---
+
+// One entry, `vm-0`, and hosts whose brokers answer after `service`.
+class hosted_fleet {
+ public:
+  explicit hosted_fleet(int64_t incarnation = 1)
+      : entry_("vm-0", incarnation, {}) {
+    fleet_ = Fleet(40, 0);
+    entry_.SetFleet(fleet_);
+    auto catalogue = std::make_shared<interactive::catalogue>();
+    catalogue->version = 1;
+    interactive::route& route = catalogue->routes["db"];
+    route.name = "orders";
+    route.database = "db";
+    route.group = "g";
+    catalogue->key_owners["key"] = "red";
+    catalogue_ = catalogue;
+    entry_.SetCatalogue(catalogue_);
+    for (const relay::vm& each : fleet_) {
+      hosts_[each.name].host.SetOpen(true);
+    }
+  }
+
+  struct vm {
+    session_host host;
+    bool silent = false;     ///< Alive, but nothing leaves or reaches it.
+    bool link_down = false;  ///< Messages to it are refused.
+    /// Sessions of its broker, with the statements that ran.
+    std::map<interactive::session_id, interactive::session_hosted> sessions;
+    bool holds = false;  ///< Its broker answers nothing at present.
+    std::deque<interactive::caller_sent> unanswered;
+  };
+
+  bool Open(interactive::session_id id = 1) {
+    const bool taken = entry_.Open(now_, {id, "db", "key"});
+    Work();
+    return taken;
+  }
+  void Send(statement_kind kind,
+            const std::string& name = "",
+            const std::string& argument = "") {
+    caller_statement statement;
+    statement.id = fmt::format("s{}", ++last_statement_);
+    statement.kind = kind;
+    statement.name = name;
+    statement.argument = argument;
+    entry_.Send(now_, {1, statement});
+    Work();
+  }
+  void Run(duration span) {
+    for (const time_point end = now_ + span; now_ < end;) {
+      now_ += milliseconds(5);
+      for (auto next = due_.begin(); next != due_.end() && next->first <= now_;
+           next = due_.begin()) {
+        const auto what = std::move(next->second);
+        due_.erase(next);
+        what();
+        Work();
+      }
+      entry_.OnTick(now_);
+      Work();
+    }
+  }
+  vm& HostOf(const std::string& organisation = "red") {
+    return hosts_.at(entry_.plan().HostsOf("g", organisation).front());
+  }
+  // A new process without the sessions of the former one.
+  void Restart(vm& of) {
+    of.host = session_host();
+    of.host.SetOpen(true);
+    of.sessions.clear();
+    of.unanswered.clear();
+  }
+
+  forwarder& entry() { return entry_; }
+  std::vector<answer_caller> answers;
+  std::vector<std::string> ran;  ///< Statements that a broker has run.
+  bool closed = false;           ///< The caller's connection.
+  void Withdraw() {
+    auto changed = std::make_shared<interactive::catalogue>(*catalogue_);
+    changed->key_owners.clear();
+    changed->version = 2;
+    entry_.SetCatalogue(changed);
+  }
+  std::map<std::string, vm>& hosts() { return hosts_; }
+
+ private:
+  void Later(std::function<void()> what) {
+    due_.emplace(now_ + milliseconds(5), std::move(what));
+  }
+
+  void Work() {
+    for (const action& each : entry_.TakeActions()) {
+      if (const auto* answer = std::get_if<answer_caller>(&each)) {
+        answers.push_back(*answer);
+        closed = closed || answer->close;
+      } else if (std::holds_alternative<interactive::close_caller>(each)) {
+        closed = true;
+      } else if (const auto* message = std::get_if<send_message>(&each)) {
+        vm& to = hosts_.at(message->vm);
+        if (to.link_down) {
+          entry_.OnSendFailed(now_, *message);
+        } else if (!to.silent) {
+          Later([this, &to, body = message->body] {
+            if (!to.silent) {
+              Handle(to, to.host.OnMessage(now_, "vm-0", body));
+            }
+          });
+        }
+      }
+    }
+  }
+
+  void Handle(vm& at, const std::vector<interactive::event>& events) {
+    for (const interactive::event& event : events) {
+      if (const auto* opened =
+              std::get_if<interactive::session_hosted>(&event)) {
+        at.sessions[opened->session] = *opened;
+      } else if (const auto* sent =
+                     std::get_if<interactive::caller_sent>(&event)) {
+        RunStatement(at, *sent);
+      } else if (const auto* closed =
+                     std::get_if<interactive::caller_closed>(&event)) {
+        at.sessions.erase(closed->session);
+      }
+    }
+    Reply(at);
+  }
+
+  void RunStatement(vm& at, const interactive::caller_sent& sent) {
+    ran.push_back(sent.statement.id);
+    at.unanswered.push_back(sent);
+    while (!at.holds && !at.unanswered.empty()) {
+      AnswerStatement(at, at.unanswered.front());
+      at.unanswered.pop_front();
+    }
+  }
+
+  void AnswerStatement(vm& at, const interactive::caller_sent& sent) {
+    answer_caller answer{.session = sent.session};
+    transaction_state& state = states_[sent.session];
+    switch (sent.statement.kind) {
+      case statement_kind::kBegin:
+        state = transaction_state::kOpen;
+        break;
+      case statement_kind::kCommit:
+      case statement_kind::kRollback:
+        state = transaction_state::kIdle;
+        break;
+      default:
+        break;
+    }
+    answer.state = state;
+    answer.signature = sent.statement.id;
+    at.host.OnAnswer(answer);
+  }
+
+ public:
+  void Reply(vm& at) {
+    for (const send_message& message : at.host.TakeMessages()) {
+      const std::string name =
+          std::find_if(hosts_.begin(), hosts_.end(), [&](const auto& each) {
+            return &each.second == &at;
+          })->first;
+      Later([this, &at, name, body = message.body] {
+        if (!at.silent) {
+          entry_.OnMessage(now_, name, body);
+        }
+      });
+    }
+  }
+
+ private:
+  time_point now_ = TimeFromMs(1'000'000);
+  std::vector<relay::vm> fleet_;
+  forwarder entry_;
+  interactive::catalogue_ptr catalogue_;
+  std::map<std::string, vm> hosts_;
+  std::map<interactive::session_id, transaction_state> states_;
+  std::multimap<time_point, std::function<void()>> due_;
+  int last_statement_ = 0;
+};
+
+TEST(HostingTest, StatementsRunAtTheHostInOrder) {
+  hosted_fleet test;
+  ASSERT_TRUE(test.Open());
+  test.Send(statement_kind::kSet, "zone", "x");
+  test.Send(statement_kind::kBegin);
+  test.Send(statement_kind::kWrite);
+  test.Send(statement_kind::kCommit);
+  test.Run(milliseconds(100));
+  ASSERT_EQ(test.answers.size(), 4U);
+  EXPECT_EQ(test.answers[2].state, transaction_state::kOpen);
+  EXPECT_EQ(test.answers[3].signature, "s4");
+  EXPECT_EQ(test.ran, (std::vector<std::string>{"s1", "s2", "s3", "s4"}));
+  EXPECT_EQ(test.HostOf().sessions.size(), 1U);
+  EXPECT_EQ(test.HostOf().sessions.begin()->second.organisation, "red");
+}
+
+TEST(HostingTest, UnknownDatabasesAndKeysStayWithTheBroker) {
+  hosted_fleet test;
+  EXPECT_FALSE(test.entry().Open(TimeFromMs(1), {2, "other", "key"}));
+  EXPECT_FALSE(test.entry().Open(TimeFromMs(1), {3, "db", "unknown"}));
+}
+
+// A lost host costs an idle session nothing: the next statement runs at
+// another one, which gets the session's state.
+TEST(HostingTest, IdleSessionMovesWithItsState) {
+  hosted_fleet test;
+  test.Open();
+  test.Send(statement_kind::kSet, "zone", "x");
+  test.Send(statement_kind::kPrepare, "p", "q2c");
+  test.Run(milliseconds(100));
+  hosted_fleet::vm& first = test.HostOf();
+  first.silent = true;
+  test.Send(statement_kind::kRead);
+  test.Run(milliseconds(1'500));
+  ASSERT_EQ(test.answers.size(), 3U);
+  EXPECT_EQ(test.answers[2].code, result_code::kOk);
+  EXPECT_FALSE(test.closed);
+  for (auto& [name, each] : test.hosts()) {
+    if (&each != &first && !each.sessions.empty()) {
+      const auto& moved = each.sessions.begin()->second;
+      ASSERT_EQ(moved.values.size(), 1U);
+      EXPECT_EQ(moved.values[0].value, "x");
+      ASSERT_EQ(moved.prepared.size(), 1U);
+      EXPECT_EQ(moved.prepared[0].shape, "q2c");
+    }
+  }
+}
+
+// Guards against a write that runs twice, or is said not to have run, when its
+// answer is lost with the host.
+TEST(HostingTest, WriteAtALostHostHasAnUnknownOutcome) {
+  hosted_fleet test;
+  test.Open();
+  test.HostOf().holds = true;
+  test.Send(statement_kind::kWrite);
+  test.Run(milliseconds(20));
+  ASSERT_EQ(test.ran.size(), 1U);
+  test.HostOf().silent = true;
+  test.Run(seconds(5));
+  EXPECT_EQ(test.ran.size(), 1U);
+  ASSERT_EQ(test.answers.size(), 1U);
+  EXPECT_EQ(test.answers[0].code, result_code::kUnknownTimeout);
+  EXPECT_TRUE(test.closed);
+}
+
+// The same when the host's process ended and another answers in its place.
+TEST(HostingTest, NewProcessOfAHostCannotTellWhatTheFormerOneRan) {
+  hosted_fleet test;
+  test.Open();
+  test.HostOf().holds = true;
+  test.Send(statement_kind::kWrite);
+  test.Run(milliseconds(20));
+  test.Restart(test.HostOf());
+  test.HostOf().holds = false;
+  test.Run(seconds(2));
+  EXPECT_EQ(test.ran.size(), 1U);
+  ASSERT_EQ(test.answers.size(), 1U);
+  EXPECT_EQ(test.answers[0].code, result_code::kUnknownConnectionLost);
+}
+
+// A statement that reached only the new process has not run.
+TEST(HostingTest, StatementAfterARestartOfTheHostRunsOnce) {
+  hosted_fleet test;
+  test.Open();
+  test.Send(statement_kind::kRead);
+  test.Run(milliseconds(100));
+  test.Restart(test.HostOf());
+  test.Send(statement_kind::kWrite);
+  test.Run(milliseconds(200));
+  ASSERT_EQ(test.answers.size(), 2U);
+  EXPECT_EQ(test.answers[1].code, result_code::kOk);
+  EXPECT_EQ(test.ran, (std::vector<std::string>{"s1", "s2"}));
+}
+
+// Guards against giving up the running work of a host that is only slow.
+TEST(HostingTest, SlowHostKeepsItsWrite) {
+  hosted_fleet test;
+  test.Open();
+  test.HostOf().holds = true;
+  test.Send(statement_kind::kWrite);
+  test.Run(milliseconds(900));
+  EXPECT_TRUE(test.answers.empty());
+  const interactive::session_id id = test.HostOf().sessions.begin()->first;
+  test.HostOf().host.OnAnswer({.session = id, .signature = "s1"});
+  test.Reply(test.HostOf());
+  test.Run(milliseconds(50));
+  ASSERT_EQ(test.answers.size(), 1U);
+  EXPECT_EQ(test.answers[0].code, result_code::kOk);
+  EXPECT_EQ(test.ran.size(), 1U);
+}
+
+TEST(HostingTest, ReadAtASilentHostIsRunElsewhere) {
+  hosted_fleet test;
+  test.Open();
+  test.HostOf().holds = true;
+  test.Send(statement_kind::kRead);
+  test.Run(milliseconds(50));
+  test.HostOf().silent = true;
+  test.Run(milliseconds(1'500));
+  ASSERT_EQ(test.answers.size(), 1U);
+  EXPECT_EQ(test.answers[0].code, result_code::kOk);
+}
+
+TEST(HostingTest, TransactionOfALostHostIsAborted) {
+  hosted_fleet test;
+  test.Open();
+  test.Send(statement_kind::kBegin);
+  test.Send(statement_kind::kWrite);
+  test.Run(milliseconds(100));
+  test.Restart(test.HostOf());
+  test.Send(statement_kind::kCommit);
+  test.Run(milliseconds(200));
+  ASSERT_EQ(test.answers.size(), 3U);
+  EXPECT_EQ(test.answers[2].code, result_code::kTransactionAborted);
+  EXPECT_EQ(test.ran.size(), 2U);
+}
+
+// Guards against a promise that nothing is kept after a commit was sent.
+TEST(HostingTest, CommitAtALostHostHasAnUnknownOutcome) {
+  hosted_fleet test;
+  test.Open();
+  test.Send(statement_kind::kBegin);
+  test.Send(statement_kind::kWrite);
+  test.Run(milliseconds(100));
+  test.HostOf().holds = true;
+  test.Send(statement_kind::kCommit);
+  test.Run(milliseconds(20));
+  test.HostOf().silent = true;
+  test.Run(seconds(3));
+  ASSERT_EQ(test.answers.size(), 3U);
+  EXPECT_EQ(test.answers[2].code, result_code::kUnknownTimeout);
+}
+
+// During a planned stop of a host nothing is cut: its sessions move.
+TEST(HostingTest, HostThatShutsDownHandsItsSessionsOver) {
+  hosted_fleet test;
+  test.Open();
+  test.Send(statement_kind::kRead);
+  test.Run(milliseconds(100));
+  hosted_fleet::vm& leaving = test.HostOf();
+  leaving.host.SetOpen(false);
+  leaving.host.OnClose(leaving.sessions.begin()->first);
+  test.Reply(leaving);
+  test.Send(statement_kind::kWrite);  // It crosses the notice.
+  test.Run(milliseconds(300));
+  test.Send(statement_kind::kWrite);
+  test.Run(milliseconds(300));
+  ASSERT_EQ(test.answers.size(), 3U);
+  EXPECT_EQ(test.answers[1].code, result_code::kOk);
+  EXPECT_EQ(test.answers[2].code, result_code::kOk);
+  EXPECT_EQ(test.ran.size(), 3U);
+  EXPECT_FALSE(test.closed);
+}
+
+TEST(HostingTest, HostWithoutAConfigurationTakesNoSessions) {
+  session_host host;
+  const auto events = host.OnMessage(TimeFromMs(1), "vm-0", Opening());
+  EXPECT_TRUE(events.empty());
+  const auto messages = host.TakeMessages();
+  ASSERT_EQ(messages.size(), 1U);
+  EXPECT_TRUE(std::get<wire::hosted_ended>(messages[0].body).closed);
+}
+
+TEST(HostingTest, LinkThatIsNotUpYetDelaysOnly) {
+  hosted_fleet test;
+  test.Open();
+  hosted_fleet::vm& host = test.HostOf();
+  host.link_down = true;
+  test.Send(statement_kind::kWrite);
+  test.Run(milliseconds(100));
+  host.link_down = false;
+  test.Run(milliseconds(100));
+  ASSERT_EQ(test.answers.size(), 1U);
+  EXPECT_EQ(test.answers[0].code, result_code::kOk);
+  EXPECT_EQ(test.ran.size(), 1U);
+}
+
+TEST(HostingTest, HostThatCannotBeReachedIsPassedOver) {
+  hosted_fleet test;
+  test.Open();
+  test.HostOf().link_down = true;
+  test.Send(statement_kind::kWrite);
+  test.Run(milliseconds(600));
+  ASSERT_EQ(test.answers.size(), 1U);
+  EXPECT_EQ(test.answers[0].code, result_code::kOk);
+}
+
+// A withdrawn key stops working at once, also on sessions at a host.
+TEST(HostingTest, WithdrawnKeyEndsTheSession) {
+  hosted_fleet test;
+  test.Open();
+  test.Send(statement_kind::kRead);
+  test.Run(milliseconds(100));
+  test.Withdraw();
+  test.Send(statement_kind::kRead);
+  test.Run(milliseconds(100));
+  ASSERT_EQ(test.answers.size(), 2U);
+  EXPECT_EQ(test.answers[1].code, result_code::kKeyInvalid);
+  EXPECT_EQ(test.ran.size(), 1U);
+  EXPECT_TRUE(test.HostOf().sessions.empty());
+}
+
+TEST(HostingTest, OutdatedMessagesChangeNothing) {
+  hosted_fleet test;
+  test.Open();
+  test.HostOf().holds = true;
+  test.Send(statement_kind::kWrite);
+  test.Run(milliseconds(20));
+  const auto tell = [&](const wire::message_body& body) {
+    test.entry().OnMessage(TimeFromMs(1'000'100), "vm-9", body);
+  };
+  tell(Answer({1, 1, 0}, 1));  // Another stay.
+  tell(Answer({7, 1, 1}, 1));  // Another process.
+  tell(Answer({1, 1, 1}, 9));  // Another statement.
+  wire::hosted_answer no_state = Answer({1, 1, 1}, 1);
+  no_state.state = 77;
+  tell(no_state);
+  wire::hosted_ended ended;  // Of a VM that is not the host.
+  ended.id = {1, 1, 1};
+  ended.known = true;
+  tell(ended);
+  test.Run(milliseconds(20));
+  EXPECT_TRUE(test.answers.empty());
+}
+
+// Malformed messages of another VM end nothing but what they name.
+TEST(HostingTest, MalformedStatementIsRefused) {
+  session_host host;
+  host.SetOpen(true);
+  host.OnMessage(TimeFromMs(1), "vm-0", Opening());
+  wire::hosted_statement statement;
+  statement.id = {1, 1, 1};
+  statement.sequence = 1;
+  for (const int64_t kind : {int64_t{-1}, int64_t{99}, INT64_MAX, INT64_MIN}) {
+    statement.kind = kind;
+    EXPECT_TRUE(host.OnMessage(TimeFromMs(2), "vm-0", statement).empty());
+  }
+  EXPECT_EQ(host.TakeMessages().size(), 4U);
+  EXPECT_EQ(host.sessions(), 1U);
+}
+
+// --- Many statements under faults ---
+
+class HostingFaultsTest : public testing::TestWithParam<int> {};
+
+// Each write runs at most once, and one that is said not to have run has not.
+TEST_P(HostingFaultsTest, WritesRunOnceAndRefusalsAreTrue) {
+  std::mt19937 random(static_cast<unsigned>(GetParam()));
+  const auto pick = [&](int count) {
+    return std::uniform_int_distribution<int>(0, count - 1)(random);
+  };
+  for (int round = 0; round < 20; ++round) {
+    hosted_fleet test;
+    test.Open();
+    std::vector<bool> writes;
+    for (int i = 0; i < 12 && !test.closed; ++i) {
+      writes.push_back(pick(2) == 0);
+      test.Send(writes.back() ? statement_kind::kWrite : statement_kind::kRead);
+      test.Run(milliseconds(pick(40)));
+      hosted_fleet::vm& host = test.HostOf();
+      switch (pick(8)) {
+        case 0:
+          host.silent = !host.silent;
+          break;
+        case 1:
+          host.link_down = !host.link_down;
+          break;
+        case 2:
+          test.Restart(host);
+          break;
+        case 3:
+          host.holds = !host.holds;
+          break;
+        default:
+          break;
+      }
+    }
+    for (auto& [name, each] : test.hosts()) {
+      each.silent = false;
+      each.link_down = false;
+    }
+    test.Run(seconds(4));
+    std::map<std::string, int> runs;
+    for (const std::string& id : test.ran) {
+      ++runs[id];
+    }
+    for (size_t i = 0; i < test.answers.size(); ++i) {
+      const answer_caller& answer = test.answers[i];
+      const std::string id = fmt::format("s{}", i + 1);
+      if (answer.code == result_code::kOk) {
+        EXPECT_EQ(answer.signature, id);
+      }
+      if (writes[i] && InfoOf(answer.code).result == outcome::kNotRun) {
+        EXPECT_EQ(runs[id], 0) << id << " seed " << GetParam();
+      }
+    }
+    for (size_t i = 0; i < writes.size(); ++i) {
+      if (writes[i]) {
+        EXPECT_LE(runs[fmt::format("s{}", i + 1)], 1)
+            << i << " seed " << GetParam();
+      }
+    }
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, HostingFaultsTest, testing::Range(1, 101));
+
+}  // namespace
+}  // namespace tarragondale::hosting
--- /dev/null
+++ b/src/hosting/session_host.cc
@@ -0,0 +1,147 @@
+// Sessions that this VM runs for the callers of others.
+#include <algorithm>
+#include <iterator>
+
+#include "tarragondale/hosting.h"
+
+namespace tarragondale::hosting {
+
+using interactive::session_id;
+
+session_host::hosted* session_host::Find(const std::string& vm,
+                                         const wire::hosting_id& id) {
+  const auto found = ids_.find(KeyOf(vm, id));
+  if (found == ids_.end()) {
+    return nullptr;
+  }
+  hosted& of = sessions_.at(found->second);
+  return of.stay == id.stay ? &of : nullptr;
+}
+
+void session_host::Tell(const hosted& of, wire::message_body body) {
+  messages_.push_back({of.entry.vm, std::move(body)});
+}
+
+void session_host::Forget(session_id id) {
+  const auto found = sessions_.find(id);
+  if (found != sessions_.end()) {
+    ids_.erase(found->second.entry);
+    sessions_.erase(found);
+  }
+}
+
+std::vector<interactive::event> session_host::OnMessage(
+    time_point now,
+    const std::string& vm,
+    const wire::message_body& body) {
+  std::vector<interactive::event> events;
+  const auto end = [&](const key& of) {
+    const auto known = ids_.find(of);
+    if (known != ids_.end()) {
+      const session_id id = known->second;
+      events.emplace_back(interactive::caller_closed{id});
+      Forget(id);
+    }
+  };
+  // This process does not have the session; an earlier one may have had it.
+  const auto refuse = [&](const wire::hosting_id& id, uint64_t sequence) {
+    messages_.push_back(
+        {vm, wire::hosted_ended{id, false, 0, sequence, closed_}});
+  };
+  if (const auto* open = std::get_if<wire::hosted_open>(&body)) {
+    const key entry = KeyOf(vm, open->id);
+    const auto known = ids_.find(entry);
+    if (known != ids_.end() &&
+        sessions_.at(known->second).stay >= open->id.stay) {
+      return events;  // A repeated or outdated message.
+    }
+    end(entry);  // An earlier stay of the same session.
+    if (closed_) {
+      refuse(open->id, 0);
+      return events;
+    }
+    const session_id id = ++last_;
+    ids_[entry] = id;
+    sessions_[id] = {entry, open->id.stay, 0, 0, now};
+    events.emplace_back(interactive::session_hosted{
+        id, open->database, open->organisation, open->values, open->prepared,
+        open->written});
+  } else if (const auto* sent = std::get_if<wire::hosted_statement>(&body)) {
+    hosted* const of = Find(vm, sent->id);
+    const bool valid =
+        sent->kind >= 0 &&
+        sent->kind <=
+            static_cast<int64_t>(interactive::statement_kind::kMalformed);
+    if (of == nullptr || !valid) {
+      refuse(sent->id, sent->sequence);
+      return events;
+    }
+    if (sent->sequence <= of->handled) {
+      return events;  // A repeated message.
+    }
+    if (sent->sequence != of->handled + 1) {
+      const key entry = of->entry;  // `end` drops the session.
+      Tell(*of, wire::hosted_ended{sent->id, true, of->handled, 0, closed_});
+      end(entry);
+      return events;
+    }
+    of->handled = sent->sequence;
+    of->used = now;
+    events.emplace_back(interactive::caller_sent{
+        ids_.at(of->entry),
+        {sent->statement, static_cast<interactive::statement_kind>(sent->kind),
+         sent->text, sent->name, sent->argument, sent->writes}});
+  } else if (const auto* closed = std::get_if<wire::hosted_close>(&body)) {
+    if (Find(vm, closed->id) != nullptr) {
+      end(KeyOf(vm, closed->id));
+    }
+  } else if (const auto* check = std::get_if<wire::host_check>(&body)) {
+    if (Find(vm, check->id) != nullptr) {
+      messages_.push_back({vm, wire::host_alive{check->id}});
+    } else {
+      refuse(check->id, 0);
+    }
+  }
+  return events;
+}
+
+bool session_host::OnAnswer(const interactive::answer_caller& answer) {
+  const auto found = sessions_.find(answer.session);
+  if (found == sessions_.end()) {
+    return answer.session >= kFirstId;
+  }
+  hosted& of = found->second;
+  ++of.answered;
+  Tell(of, wire::hosted_answer{IdOf(of), of.answered, answer.code,
+                               answer.reason, answer.rows, answer.signature,
+                               static_cast<int64_t>(answer.state),
+                               answer.position, answer.close});
+  return true;
+}
+
+bool session_host::OnClose(session_id session) {
+  const auto found = sessions_.find(session);
+  if (found != sessions_.end()) {
+    const hosted& of = found->second;
+    Tell(of, wire::hosted_ended{IdOf(of), true, of.handled, 0, closed_});
+    Forget(session);
+  }
+  return session >= kFirstId;
+}
+
+std::vector<interactive::event> session_host::OnTick(time_point now) {
+  std::vector<session_id> idle;
+  for (const auto& [id, of] : sessions_) {
+    if (now - of.used > kIdleLimit) {
+      idle.push_back(id);
+    }
+  }
+  std::vector<interactive::event> events;
+  for (const session_id id : idle) {
+    OnClose(id);
+    events.emplace_back(interactive::caller_closed{id});
+  }
+  return events;
+}
+
+}  // namespace tarragondale::hosting
--- a/src/interactive/broker.cc
+++ b/src/interactive/broker.cc
@@ -150,6 +150,26 @@
   actions_.push_back(accept_caller{event.session});
 }
 
+void session_broker::implementation::On(const session_hosted& event) {
+  if (!catalogue_) {
+    actions_.push_back(close_caller{event.session});
+    return;
+  }
+  ++metrics_.sessions;
+  session& hosted = sessions_[event.session];
+  hosted.id = event.session;
+  hosted.database = event.database;
+  hosted.organisation = event.organisation;
+  hosted.hosted = true;
+  for (const wire::named_value& each : event.values) {
+    hosted.values[each.name] = each.value;
+  }
+  for (const wire::prepared_shape& each : event.prepared) {
+    hosted.prepared[each.name] = {each.writes, each.shape};
+  }
+  hosted.written = event.written;
+}
+
 void session_broker::implementation::On(const caller_sent& event) {
   const auto found = sessions_.find(event.session);
   if (found == sessions_.end() || found->second.closing) {
@@ -175,7 +195,24 @@
 
 // --- Configuration ---
 
+void session_broker::implementation::NoteChangedRates(const catalogue* before,
+                                                      const catalogue& after) {
+  if (before == nullptr) {
+    return;
+  }
+  for (const auto& [name, row] : after.organisations) {
+    const auto known = before->organisations.find(name);
+    if (known != before->organisations.end() && known->second != row) {
+      Note(log_level::kInfo,
+           "organisation {}: rate {}/s, burst {}; was {}/s, {}; version {}",
+           name, row.rate, row.burst, known->second.rate, known->second.burst,
+           after.version);
+    }
+  }
+}
+
 void session_broker::implementation::On(const catalogue_changed& event) {
+  NoteChangedRates(catalogue_.get(), *event.value);
   catalogue_ = event.value;
   std::erase_if(rates_, [&](const auto& each) {
     return !catalogue_->organisations.contains(each.first);
@@ -216,7 +253,7 @@
 
 void session_broker::implementation::On(const fleet_changed& event) {
   vms_ = std::max(1, event.vms);
-  pool_.SetFleet(event.vms, event.by_zone);
+  pool_.SetFleet(event.vms, event.by_zone, event.member_users);
   for (auto& [name, rate] : rates_) {
     rate.SetFleet(vms_);
   }
@@ -232,7 +269,7 @@
   const auto found = rates_.find(event.organisation);
   if (found != rates_.end()) {
     found->second.OnReport(event.vm, event.operations, event.demand_per_s,
-                           now_);
+                           event.counted_vms, now_);
   }
 }
 
--- a/src/interactive/broker_implementation.h
+++ b/src/interactive/broker_implementation.h
@@ -51,6 +51,7 @@
 
   // --- Events (broker.cc) ---
   void On(const caller_opened& event);
+  void On(const session_hosted& event);
   void On(const caller_sent& event);
   void On(const caller_closed& event);
   void On(const link_opened& event);
@@ -58,6 +59,7 @@
   void On(const link_answered& event);
   void On(const link_lost& event);
   void On(const catalogue_changed& event);
+  void NoteChangedRates(const catalogue* before, const catalogue& after);
   void On(const members_changed& event);
   void On(const rights_changed& event);
   void On(const fleet_changed& event);
--- a/src/interactive/broker_statements.cc
+++ b/src/interactive/broker_statements.cc
@@ -98,7 +98,7 @@
                        catalogue_->version));
     return true;
   }
-  if (settings->open) {
+  if (settings->open || of.hosted) {
     return false;
   }
   const auto owner = catalogue_->key_owners.find(of.key);
--- a/src/interactive/member_pool.cc
+++ b/src/interactive/member_pool.cc
@@ -70,8 +70,10 @@
 }
 
 void member_pool::SetFleet(int vms,
-                           std::map<std::string, int, std::less<>> by_zone) {
+                           std::map<std::string, int, std::less<>> by_zone,
+                           int member_users) {
   vms_ = std::max(1, vms);
+  member_users_ = member_users;
   vms_by_zone_ = std::move(by_zone);
 }
 
@@ -155,6 +157,12 @@
 size_t member_pool::Share(const member& of,
                           int connection_cap,
                           bool primary) const {
+  if (member_users_ > 0) {
+    // One part stays free: a VM that is lost holds its connections for seconds
+    // while another takes its place.
+    return static_cast<size_t>(std::max(
+        1, (connection_cap - kReservedConnections) / (member_users_ + 1)));
+  }
   const int available = std::max(
       1, std::min(connection_cap - kReservedConnections,
                   std::max(connection_cap / kPlannedPart - kReservedConnections,
--- a/src/interactive/member_pool.h
+++ b/src/interactive/member_pool.h
@@ -38,7 +38,10 @@
   std::vector<link_id> SetDirectory(const member_directory& directory,
                                     time_point now);
 
-  void SetFleet(int vms, std::map<std::string, int, std::less<>> by_zone);
+  /// @param member_users VMs that use each member; 0: all of them.
+  void SetFleet(int vms,
+                std::map<std::string, int, std::less<>> by_zone,
+                int member_users);
 
   member* Find(std::string_view id);
   const member* Find(std::string_view id) const;
@@ -83,6 +86,7 @@
   std::unordered_map<link_id, link> links_;
   link_id last_link_ = 0;
   int vms_ = 1;
+  int member_users_ = 0;
   std::map<std::string, int, std::less<>> vms_by_zone_;
 };
 
--- a/src/interactive/session.h
+++ b/src/interactive/session.h
@@ -54,6 +54,7 @@
   std::string database;
   std::string key;
   std::string organisation;
+  bool hosted = false;  ///< Another VM checks its key.
   std::map<std::string, std::string, std::less<>> values;
   std::map<std::string, prepared_statement, std::less<>> prepared;
   log_position written;  ///< Newest own commit.
--- a/src/interactive/shared_rate.cc
+++ b/src/interactive/shared_rate.cc
@@ -12,6 +12,12 @@
 // A VM that was not heard for this long is taken to use its even share.
 constexpr duration kReportLifetime = milliseconds(2'500);
 constexpr double kDemandSpanSeconds = 1.0;
+// Demand of late is compared with that of this span to tell a surge.
+constexpr double kUsualSpanSeconds = 10.0;
+// Operations that arrive together by chance are no surge.
+constexpr double kChanceOperations = 3.0;
+// What others admit is known here after this: two reports, by way of a relay.
+constexpr double kReportLagSeconds = 1.0;
 // A VM may always spend this part of an even share, so that it can start.
 constexpr double kLeastPartOfEvenShare = 0.5;
 // Part of the burst that a VM assumes to be there when it starts; others may
@@ -57,16 +63,20 @@
   demand_sum_ = demand_sum_ * std::exp(-Elapsed(demand_updated_, now) /
                                        kDemandSpanSeconds) +
                 1;
+  usual_sum_ = usual_sum_ * std::exp(-Elapsed(demand_updated_, now) /
+                                     kUsualSpanSeconds) +
+               1;
   demand_updated_ = now;
   Refill(now);
   if (now - window_start_ >= kWindow) {
     StartWindow(now);
   }
-  if (balance_ < kWhole || window_allowance_ < kWhole) {
+  const bool within_share = window_allowance_ >= kWhole;
+  if (balance_ < kWhole || (!within_share && balance_ < Reserve(now) + 1)) {
     return false;
   }
   balance_ -= 1;
-  window_allowance_ -= 1;
+  window_allowance_ = std::max(0.0, window_allowance_ - 1);
   ++admitted_;
   return true;
 }
@@ -74,11 +84,13 @@
 void shared_rate::OnReport(std::string_view vm,
                            double operations,
                            double demand_per_s,
+                           int counted_vms,
                            time_point now) {
   Refill(now);
   balance_ -= operations;
   peer& reporter = peers_[std::string(vm)];
   reporter.demand_per_s = demand_per_s;
+  reporter.counted_vms = counted_vms;
   reporter.heard = now;
   std::erase_if(peers_, [&](const auto& each) {
     return now - each.second.heard > kReportLifetime;
@@ -118,10 +130,32 @@
   if (now - started_ < kStartSpan) {
     return 0;
   }
-  const int unheard = std::max(0, vms_ - 1 - static_cast<int>(peers_.size()));
+  int heard = 1;
+  for (const auto& [name, each] : peers_) {
+    heard += each.counted_vms;
+  }
+  const int unheard = std::max(0, vms_ - heard);
   return static_cast<double>(unheard) / std::max(1, vms_);
 }
 
+// Operations that other VMs may have admitted unknown to this one. If demand
+// surges here, it is taken to surge there too.
+double shared_rate::Reserve(time_point now) const {
+  const double own = DemandPerSecond(now);
+  const double usual =
+      usual_sum_ *
+      std::exp(-Elapsed(demand_updated_, now) / kUsualSpanSeconds) /
+      kUsualSpanSeconds;
+  const double surge =
+      std::max(1.0, (own + kChanceOperations) / (usual + kChanceOperations));
+  double others = 0;
+  for (const auto& [name, each] : peers_) {
+    others += each.demand_per_s;
+  }
+  const double unheard = PartUnheard(now) * burst_;
+  return others * surge * kReportLagSeconds + unheard;
+}
+
 double shared_rate::Share(time_point now) const {
   const double even = 1.0 / std::max(1, vms_);
   if (vms_ <= 1) {
--- a/src/interactive/shared_rate.h
+++ b/src/interactive/shared_rate.h
@@ -18,7 +18,9 @@
 /// admits at once and what other VMs admitted when they report it, so the
 /// long-run rate is exact. Until the next report a VM spends no more than its
 /// share of the bucket, by demand, so that all VMs together do not spend the
-/// same tokens.
+/// same tokens. It may spend more where the bucket holds more than the others
+/// can have admitted meanwhile, so that operations which arrive together by
+/// chance are not refused within the rate.
 class shared_rate {
  public:
   /// @param vms VMs in service, this one included.
@@ -30,10 +32,11 @@
   /// @brief Takes one token for an operation that arrived. False: refused.
   bool Take(time_point now);
 
-  /// @brief What another VM reports.
+  /// @brief What another VM reports, for itself and the VMs it speaks for.
   void OnReport(std::string_view vm,
                 double operations,
                 double demand_per_s,
+                int counted_vms,
                 time_point now);
 
   /// @brief Time until an operation may succeed, for the refusal.
@@ -48,6 +51,7 @@
  private:
   struct peer {
     double demand_per_s = 0;
+    int counted_vms = 1;
     time_point heard;
   };
 
@@ -56,6 +60,7 @@
   double Share(time_point now) const;
 
   double PartUnheard(time_point now) const;
+  double Reserve(time_point now) const;
 
   double rate_;
   double burst_;
@@ -66,8 +71,9 @@
   time_point window_start_;
   double window_allowance_ = 0;
   uint64_t admitted_ = 0;
-  // Demand: a sum that decays with `kDemandSpan`.
+  // Demand: sums that decay, over a second and over longer.
   double demand_sum_ = 0;
+  double usual_sum_ = 0;
   time_point demand_updated_;
   std::map<std::string, peer, std::less<>> peers_;
 };
--- a/src/leadership/keeper.cc
+++ b/src/leadership/keeper.cc
@@ -4,6 +4,13 @@
 #include "src/leadership/keeper_implementation.h"
 
 namespace tarragondale::leadership {
+namespace {
+
+// A VM that is not registered and was not heard for this long is forgotten:
+// twice as long as its rights may have lasted.
+constexpr duration kPeerLifetime = seconds(30);
+
+}  // namespace
 
 keeper::keeper(options options, broker_view view)
     : implementation_(std::make_unique<implementation>(std::move(options),
@@ -23,10 +30,18 @@
   return implementation_->Groups();
 }
 
+vouched keeper::Vouched(time_point now, bool relayed) const {
+  return implementation_->Vouched(now, relayed);
+}
+
 std::optional<time_point> keeper::confirmed_at() const {
   return implementation_->confirmed_at();
 }
 
+bool keeper::NeedsDigests(time_point now) const {
+  return implementation_->NeedsDigests(now);
+}
+
 int64_t keeper::incarnation() const {
   return implementation_->incarnation();
 }
@@ -47,24 +62,12 @@
   return std::move(actions_);
 }
 
-std::map<std::string, group_state, std::less<>> keeper::implementation::Groups()
-    const {
-  std::map<std::string, group_state, std::less<>> groups;
-  for (const auto& [group, record] : records_) {
-    const auto stopped = stopped_.find(group);
-    groups[group] = {record, stopped == stopped_.end() ? 0 : stopped->second,
-                     handovers_.contains(group)};
-  }
-  return groups;
-}
-
 void keeper::implementation::On(const item_seen& event) {
   if (event.removed) {
     SeeRemoved(event.now.key);
   } else {
     SeeItem(event.now);
   }
-  PublishFleet();
 }
 
 void keeper::implementation::On(const items_loaded& event) {
@@ -199,6 +202,7 @@
     from.echoes_since.reset();
   }
   from.digest = event.digest;
+  from.differs_version = 0;
   from.heard = now_;
   if (event.echo_sent) {
     from.echoes_since = from.echoes_since.value_or(now_);
@@ -219,6 +223,12 @@
         ConfirmGroup(state.group, state.epoch, sent);
       }
     }
+    // Where this VM knows a newer record than the sender, it was written after
+    // the read, so no other can have followed it by then.
+    confirmed_at_ = std::max(confirmed_at_.value_or(sent), sent);
+  }
+  if (std::exchange(news_, false) && relay_.relays) {
+    actions_.push_back(send_digests{true});
   }
   PublishRights();
   ContinueHandovers();
@@ -311,9 +321,17 @@
 
 void keeper::implementation::On(const tick& /*event*/) {
   next_tick_ = now_ + options_.tick_interval;
+  PublishFleet();
   if (leaving_) {
     return;
   }
+  std::erase_if(peers_, [&](const auto& each) {
+    return !vms_.contains(each.first) &&
+           now_ - each.second.heard > kPeerLifetime;
+  });
+  std::erase_if(unregistered_, [&](const auto& each) {
+    return now_ - each.second > options_.registration_lifetime;
+  });
   KeepRegistration();
   KeepDuty();
   KeepConfirmed();
--- a/src/leadership/keeper_handover.cc
+++ b/src/leadership/keeper_handover.cc
@@ -26,10 +26,13 @@
   if (!members_ || !catalogue_ || draining_) {
     return;
   }
+  const bool may_create = now_ >= next_create_;
   for (const auto& [group, limits] : catalogue_->groups) {
     const auto found = records_.find(group);
     if (found == records_.end()) {
-      CreateRecord(group);
+      if (may_create) {
+        CreateRecord(group);
+      }
       continue;
     }
     if (handovers_.contains(group)) {
@@ -51,9 +54,6 @@
 
 // The first record of a group names the member that leads already.
 void keeper::implementation::CreateRecord(const std::string& group) {
-  if (now_ < next_create_) {
-    return;
-  }
   const interactive::member_record* primary = nullptr;
   for (const interactive::member_record* each : MembersOf(group)) {
     if (each->claims_primary) {
@@ -157,6 +157,8 @@
       if (state.group != group || state.member != member) {
         continue;
       }
+      failing += static_cast<int>(state.followers_failing);
+      reached += static_cast<int>(state.followers_reaching);
       if (state.failing_ms >= ToMs(options_.suspicion)) {
         ++failing;
       } else if (state.answer_age_ms >= 0 &&
@@ -301,6 +303,18 @@
       return true;
     }
   }
+  for (const auto& [relay, each] : peers_) {
+    const auto& stops = each.digest.stops;
+    const bool vouched =
+        std::any_of(stops.begin(), stops.end(), [&](const auto& notice) {
+          return notice.vm == name && notice.incarnation >= incarnation &&
+                 (notice.group.empty() ||
+                  (notice.group == group && notice.epoch >= epoch));
+        });
+    if (vouched) {
+      return true;
+    }
+  }
   const auto heard = peers_.find(name);
   if (heard == peers_.end() || heard->second.digest.incarnation < incarnation) {
     return false;
--- a/src/leadership/keeper_implementation.h
+++ b/src/leadership/keeper_implementation.h
@@ -28,7 +28,12 @@
   std::vector<action> Step(time_point now, const event& input);
   time_point NextDeadline() const { return next_tick_; }
   std::map<std::string, group_state, std::less<>> Groups() const;
+  vouched Vouched(time_point now, bool relayed) const;
   std::optional<time_point> confirmed_at() const { return confirmed_at_; }
+  bool NeedsDigests(time_point now) const {
+    return confirmed_at_ &&
+           now - *confirmed_at_ > options_.relayed_confirm_limit;
+  }
   int64_t incarnation() const { return self_.incarnation; }
   bool leaving() const { return leaving_; }
   bool left() const { return leaving_ && registration_.lease == 0; }
@@ -72,8 +77,22 @@
     std::optional<time_point> made_after;
     /// When the first digest came that echoed one of this VM's.
     std::optional<time_point> echoes_since;
+    /// Groups on which the digest differs from the records of this VM, or which
+    /// its sender was about to change. See `RefreshDifferences`.
+    std::set<std::string, std::less<>> differs;
+    uint64_t differs_version = 0;
+  };
+
+  // What is known of the VMs that are registered in a zone: none of them knew
+  // of another record than this VM, or was about to change one, at `since`,
+  // but for the groups in `except`.
+  struct zone_cover {
+    time_point since;
+    std::set<std::string, std::less<>> except;
   };
 
+  using zone_covers = std::map<std::string, zone_cover, std::less<>>;
+
   // A right that is being given up.
   struct stopping {
     int64_t epoch = 0;
@@ -149,6 +168,7 @@
   void On(const digest_arrived& event);
   void On(const member_checked& event);
   void On(const promotion_answered& event);
+  void On(const relay_changed& event) { relay_ = event; }
   void On(const drain_started& event);
   void On(const leave_started& event);
   void On(const tick& event);
@@ -165,24 +185,44 @@
   void KeepRegistration();
   void KeepDuty();
   void KeepConfirmed();
-  bool IsConfirmedByOthers() const;
+  bool IsConfirmedRecently() const;
   void OnRegistrationAnswer(call_kind kind, const store_answered& event);
   void OnDutyAnswer(call_kind kind, const store_answered& event);
   void OnConfirmed(const store_answered& event);
   void SeeDuty(const std::optional<duty_record>& record);
+  void DelayClaim();
   bool HoldsDuty() const;
   void PublishFleet();
 
   // --- Rights (keeper_rights.cc) ---
   void SeeRecord(const std::string& group, const primary_record& record);
+  void ConfirmChange();
   void StopOld(const std::string& group, int64_t epoch);
   void ContinueStopping();
   void ConfirmGroup(const std::string& group, int64_t epoch, time_point sent);
-  std::optional<time_point> ExtensionOf(const std::string& group,
-                                        int64_t epoch) const;
   void TellStore();
-  interactive::primary_right RightOf(const std::string& group) const;
+  interactive::primary_right RightOf(const std::string& group,
+                                     const zone_covers& covers) const;
   void PublishRights();
+  bool NeedsExtension() const;
+
+  // --- What VMs tell of each other (keeper_coverage.cc) ---
+  std::optional<zone_covers> CoversOfAllZones() const;
+  std::optional<zone_cover> CoverOfZone(
+      const std::string& zone,
+      const std::vector<std::string_view>& names) const;
+  std::optional<time_point> AddDirect(
+      const std::string& name,
+      std::set<std::string, std::less<>>& except) const;
+  void RefreshDifferences();
+  std::map<std::string, std::vector<std::string_view>, std::less<>> VmsByZone()
+      const;
+  std::optional<time_point> ExtensionOf(const std::string& group,
+                                        const zone_covers& covers) const;
+  void AddStops(const std::string& name,
+                const peer& of,
+                std::vector<wire::stop_notice>& to) const;
+  std::optional<duration> DutySilence(time_point now) const;
 
   // --- Changes of primary (keeper_handover.cc) ---
   void WatchPrimaries();
@@ -272,9 +312,11 @@
   // before their rights did.
   std::map<std::string, time_point, std::less<>> unregistered_;
   bool fleet_dirty_ = true;
+  relay_changed relay_;
   std::map<std::string, peer, std::less<>> peers_;
 
   std::map<std::string, primary_record, std::less<>> records_;
+  uint64_t records_version_ = 1;  ///< Rises with each change of `records_`.
   // Latest time at which a linearizable read that shows the record's present
   // epoch was sent.
   std::map<std::string, time_point, std::less<>> confirmed_;
@@ -282,6 +324,7 @@
   time_point next_confirm_;
   bool confirming_ = false;
   bool confirm_again_ = false;
+  bool news_ = false;  ///< A record was confirmed for the first time.
   std::map<std::string, int64_t, std::less<>> stopped_;
   std::map<std::string, stopping, std::less<>> stopping_;
   std::map<std::string, interactive::primary_right, std::less<>> rights_;
--- a/src/leadership/keeper_leases.cc
+++ b/src/leadership/keeper_leases.cc
@@ -1,5 +1,6 @@
 // Registration, duty and confirmation of the primaries' records.
 #include <algorithm>
+#include <utility>
 
 #include "src/leadership/keeper_implementation.h"
 
@@ -9,8 +10,13 @@
 
 namespace {
 
-// Spreads claims of a free duty, so that most claims meet no other.
+// Spreads claims of a free duty, so that most claims meet no other: as many
+// milliseconds for each VM as a claim takes to become known, within bounds.
+constexpr int64_t kClaimSpreadMs = 60;
 constexpr int64_t kClaimJitterMs = 150;
+constexpr int64_t kLongestClaimJitterMs = 6'000;
+// Between two reads of this VM, if others don't make them needless.
+constexpr duration kConfirmPause = milliseconds(250);
 
 }  // namespace
 
@@ -73,6 +79,9 @@
     registered_ = true;
     registered_at_ = now_;
     next_confirm_ = now_;
+    if (!duty_) {
+      DelayClaim();
+    }
     Note(log_level::kInfo, "registered with incarnation {}", self_.incarnation);
     KeepConfirmed();
   } else {
@@ -185,8 +194,22 @@
          duty_ ? duty_->holder : "nobody");
   }
   if (!duty_ && !was_free) {
-    std::uniform_int_distribution<int64_t> jitter(0, kClaimJitterMs);
-    next_claim_ = now_ + milliseconds(jitter(random_));
+    DelayClaim();
+  }
+}
+
+// VMs that others know, and hear without a hop, change primaries sooner.
+void keeper::implementation::DelayClaim() {
+  const int64_t spread =
+      std::clamp(kClaimSpreadMs * static_cast<int64_t>(vms_.size()),
+                 kClaimJitterMs, kLongestClaimJitterMs);
+  std::uniform_int_distribution<int64_t> jitter(0, spread);
+  next_claim_ = now_ + milliseconds(jitter(random_));
+  if (!relay_.relays) {
+    next_claim_ += options_.follower_claim_delay;
+  }
+  if (now_ - registered_at_ < options_.registration_lifetime) {
+    next_claim_ += options_.young_claim_delay;
   }
 }
 
@@ -196,7 +219,7 @@
   if (confirming_ || now_ < next_confirm_ || !registered_) {
     return;
   }
-  if (!confirm_again_ && !holding_ && IsConfirmedByOthers()) {
+  if (!confirm_again_ && IsConfirmedRecently()) {
     return;
   }
   confirming_ = true;
@@ -205,13 +228,17 @@
 }
 
 // One VM's reads of the records serve all that hear of them in time.
-bool keeper::implementation::IsConfirmedByOthers() const {
+bool keeper::implementation::IsConfirmedRecently() const {
+  const duration limit = relay_.relays
+                             ? std::min(options_.relayed_confirm_limit,
+                                        options_.confirm_interval +
+                                            options_.confirm_step * relay_.rank)
+                             : options_.follower_confirm_limit;
   return !records_.empty() &&
          std::all_of(records_.begin(), records_.end(), [&](const auto& each) {
            const auto confirmed = confirmed_.find(each.first);
-           return each.second.moving ||
-                  (confirmed != confirmed_.end() &&
-                   now_ - confirmed->second < options_.relayed_confirm_limit);
+           return each.second.moving || (confirmed != confirmed_.end() &&
+                                         now_ - confirmed->second < limit);
          });
 }
 
@@ -233,7 +260,13 @@
                                      event.reply.items.back().key});
   } else {
     confirmed_at_ = std::max(confirmed_at_.value_or(event.sent), event.sent);
-    next_confirm_ = confirm_again_ ? now_ : now_ + options_.confirm_interval;
+    next_confirm_ = now_;
+    if (!confirm_again_) {
+      next_confirm_ +=
+          records_.empty() ? options_.confirm_interval : kConfirmPause;
+    }
+    // Others need no read of their own, the sooner they hear of this one.
+    actions_.push_back(send_digests{std::exchange(news_, false)});
   }
   PublishRights();
   ContinueHandovers();
--- a/src/leadership/keeper_rights.cc
+++ b/src/leadership/keeper_rights.cc
@@ -5,6 +5,15 @@
 
 namespace tarragondale::leadership {
 
+namespace {
+
+// Relays that read a changed record at once.
+constexpr int kFirstReaders = 2;
+// Other VMs read it themselves if they were not told by then.
+constexpr duration kChangeNewsLimit = milliseconds(400);
+
+}  // namespace
+
 void keeper::implementation::SeeRecord(const std::string& group,
                                        const primary_record& record) {
   primary_record& known = records_[group];
@@ -12,6 +21,7 @@
     return;
   }
   const primary_record former = std::exchange(known, record);
+  ++records_version_;
   confirmed_.erase(group);
   Note(log_level::kInfo,
        "group {}: record epoch {}, member {}, term {}{}; was epoch {}, member "
@@ -23,9 +33,7 @@
   }
   if (!record.moving) {
     StopOld(group, record.epoch);
-    next_confirm_ = now_;
-    confirm_again_ = true;
-    KeepConfirmed();
+    ConfirmChange();
     return PublishRights();
   }
   const bool failing = view_.health(former.member).failing_since.has_value();
@@ -35,6 +43,18 @@
   ContinueStopping();
 }
 
+// A changed record is read at once by few VMs, which tell the others.
+void keeper::implementation::ConfirmChange() {
+  const bool first = relay_.relays && relay_.rank < kFirstReaders;
+  if (first || HoldsDuty()) {
+    next_confirm_ = now_;
+    confirm_again_ = true;
+    KeepConfirmed();
+  } else {
+    next_confirm_ = std::max(next_confirm_, now_ + kChangeNewsLimit);
+  }
+}
+
 // Ends all work under older epochs, and with it the older rights.
 void keeper::implementation::StopOld(const std::string& group, int64_t epoch) {
   stopping_.erase(group);
@@ -74,12 +94,14 @@
       record->second.moving || !registered_ || sent < registered_at_) {
     return;
   }
-  time_point& confirmed = confirmed_.try_emplace(group, sent).first->second;
-  confirmed = std::max(confirmed, sent);
+  const auto [confirmed, first] = confirmed_.try_emplace(group, sent);
+  confirmed->second = std::max(confirmed->second, sent);
+  news_ = news_ || first;
 }
 
 interactive::primary_right keeper::implementation::RightOf(
-    const std::string& group) const {
+    const std::string& group,
+    const zone_covers& covers) const {
   const primary_record& record = records_.at(group);
   if (record.moving) {
     const auto former = rights_.find(group);
@@ -95,7 +117,7 @@
   const auto confirmed = confirmed_.find(group);
   if (confirmed != confirmed_.end() && !leaving_) {
     time_point until = confirmed->second + options_.right_lifetime;
-    if (const auto extension = ExtensionOf(group, record.epoch)) {
+    if (const auto extension = ExtensionOf(group, covers)) {
       until = std::max(until, *extension);
     }
     right.until = std::min(until, registration_.renewed +
@@ -105,51 +127,10 @@
   return right;
 }
 
-// How long the right lasts by what the other VMs say: each of them knew of no
-// change, and was not about to make one, when it made its last digest.
-std::optional<time_point> keeper::implementation::ExtensionOf(
-    const std::string& group,
-    int64_t epoch) const {
-  std::optional<time_point> oldest;
-  const auto covers = [&](const peer& other) {
-    const auto& states = other.digest.primaries;
-    const bool unchanged = std::any_of(
-        states.begin(), states.end(), [&](const wire::primary_state& state) {
-          return state.group == group && state.epoch == epoch &&
-                 !state.moving && !state.changing;
-        });
-    if (!unchanged || !other.made_after) {
-      return false;
-    }
-    oldest = std::min(oldest.value_or(*other.made_after), *other.made_after);
-    return true;
-  };
-  for (const auto& [name, vm] : vms_) {
-    const auto other = peers_.find(name);
-    if (name != self_.name &&
-        (other == peers_.end() || !covers(other->second))) {
-      return std::nullopt;
-    }
-  }
-  // VMs that were heard but whose registration is not known here.
-  for (const auto& [name, other] : peers_) {
-    const bool counts = !vms_.contains(name) && !other.digest.leaving &&
-                        now_ - other.heard < options_.registration_lifetime;
-    if (counts && !covers(other)) {
-      return std::nullopt;
-    }
-  }
-  if (!oldest) {
-    return std::nullopt;
-  }
-  return *oldest + options_.extension_lifetime;
-}
-
 // The VM with the duty may not hear this one, but the store may.
 void keeper::implementation::TellStore() {
-  const auto holder = duty_ ? peers_.find(duty_->holder) : peers_.end();
-  const bool heard = holder != peers_.end() &&
-                     now_ - holder->second.heard < options_.report_lifetime;
+  const auto silence = DutySilence(now_);
+  const bool heard = silence && *silence < options_.duty_silence;
   if (!registered_ || !duty_ || duty_->holder == self_.name || heard) {
     return;
   }
@@ -164,10 +145,23 @@
   Call(call_kind::kTellStopped, std::move(write));
 }
 
+// Rights that were confirmed a short while ago outlast any extension.
+bool keeper::implementation::NeedsExtension() const {
+  const duration recent = options_.right_lifetime - options_.extension_lifetime;
+  return std::any_of(records_.begin(), records_.end(), [&](const auto& each) {
+    const auto confirmed = confirmed_.find(each.first);
+    return confirmed != confirmed_.end() && now_ - confirmed->second > recent;
+  });
+}
+
 void keeper::implementation::PublishRights() {
   std::map<std::string, interactive::primary_right, std::less<>> rights;
+  RefreshDifferences();
+  const zone_covers covers = NeedsExtension()
+                                 ? CoversOfAllZones().value_or(zone_covers())
+                                 : zone_covers();
   for (const auto& [group, record] : records_) {
-    rights[group] = RightOf(group);
+    rights[group] = RightOf(group, covers);
   }
   if (rights != rights_) {
     rights_ = std::move(rights);
--- a/src/leadership/keeper_simulation.h
+++ b/src/leadership/keeper_simulation.h
@@ -21,6 +21,7 @@
  public:
   static constexpr duration kStep = milliseconds(5);
   static constexpr duration kPromotionTime = milliseconds(300);
+  static constexpr int kZoneRelays = 2;
 
   struct vm {
     std::string name;
@@ -50,7 +51,8 @@
     interactive::member_status status;
   };
 
-  explicit keeper_simulation(uint64_t seed, int vms = 5) : random_(seed) {
+  explicit keeper_simulation(uint64_t seed, int vms = 5, int relaying = 0)
+      : relays(relaying), random_(seed) {
     store_.announce = [this](const item& changed, bool removed) {
       Announce(changed, removed);
     };
@@ -70,6 +72,10 @@
   const std::string& primary() const { return primary_; }
   time_point now() const { return now_; }
   bool store_up = true;
+  /// VMs that relay for the others; 0: all VMs talk to each other.
+  int relays = 0;
+  /// Followers that turn to another relay: they talk to the next one.
+  int turned = 0;
   int synchronous_replicas = 0;  ///< Of VMs that start from now on.
   double lost_answers = 0;       ///< Part of the store's answers.
   double late_writes = 0;        ///< Part of lost calls that run seconds later.
@@ -83,7 +89,8 @@
   void Start(vm& of) {
     options chosen;
     // A new process's clock may be behind that of the former one.
-    chosen.self = {of.name, "127.0.0.1:1", "z", "r", ++last_incarnation_};
+    chosen.self = {of.name, "127.0.0.1:1", ZoneOf(of), "r",
+                   ++last_incarnation_};
     chosen.seed = random_();
     of.alive = true;
     of.rights.clear();
@@ -97,6 +104,7 @@
                                    int64_t) { return self->open_work; },
             .health = [this](std::string_view id) { return HealthOf(id); }});
     of.incarnation = chosen.self.incarnation;
+    Step(of, relay_changed{Relays(of), std::max(0, IndexOf(of))});
     PublishMembers(of);
     auto catalogue = std::make_shared<interactive::catalogue>();
     catalogue->groups["g"] = {"g", 16, synchronous_replicas};
@@ -306,7 +314,9 @@
   void Announce(const item& changed, bool removed) {
     for (const auto& each : vms_) {
       vm& to = *each;
-      if (to.store_cut || to.deaf_watch || !store_up) {
+      // A follower is told by its relay.
+      const bool reached = Relays(to) || !to.peers_cut;
+      if (to.store_cut || to.deaf_watch || !store_up || !reached) {
         missed_.insert(to.name);
         continue;
       }
@@ -319,8 +329,48 @@
 
   // --- Network between VMs ---
 
+  int IndexOf(const vm& of) const {
+    return static_cast<int>(
+        std::find_if(vms_.begin(), vms_.end(),
+                     [&](const auto& each) { return each.get() == &of; }) -
+        vms_.begin());
+  }
+  bool Relays(const vm& of) const {
+    return relays == 0 || IndexOf(of) < relays;
+  }
+  bool Follows(const vm& from, const vm& to) const {
+    return !Relays(from) && IndexOf(to) == (IndexOf(from) + turned) % relays;
+  }
+  // Relays are in pairs, a pair for each zone.
+  std::string ZoneOf(const vm& of) const {
+    return relays == 0
+               ? "z"
+               : "z" + std::to_string((IndexOf(of) % relays) / kZoneRelays);
+  }
+  bool Asks(const vm& from, const vm& to) const {
+    return !Relays(from) && Relays(to) && ZoneOf(from) == ZoneOf(to);
+  }
+
   void SendDigests(vm& from) {
-    from.next_digest = now_ + milliseconds(500);
+    from.next_digest =
+        now_ + milliseconds(from.mind->NeedsDigests(now_) ? 250 : 500);
+    for (const auto& each : vms_) {
+      vm& to = *each;
+      const bool exchanges = Relays(from) && Relays(to);
+      const bool reports = Follows(from, to) || Asks(from, to);
+      if (to.name != from.name && (exchanges || reports)) {
+        SendDigest(from, to);
+      }
+    }
+    // A VM that missed changes reads all again once it can.
+    if (missed_.contains(from.name) && store_up && !from.store_cut &&
+        !from.deaf_watch) {
+      missed_.erase(from.name);
+      Load(from);
+    }
+  }
+
+  void SendDigest(vm& from, vm& to) {
     wire::fleet_digest digest;
     digest.incarnation = from.incarnation;
     digest.leaving = from.mind->leaving();
@@ -338,54 +388,54 @@
                                   {},
                                   -1,
                                   -1,
-                                  FailingMs(state.record.member)});
-    }
-    for (const auto& each : vms_) {
-      vm& to = *each;
-      if (to.name == from.name) {
-        continue;
-      }
-      vm::heard& known = from.peers[to.name];
-      digest.sequence = ++known.last_sent;
-      digest.echo = known.last_received;
-      known.sent[digest.sequence] = now_;
-      if (from.peers_cut || to.peers_cut || Chance(0.02)) {
-        continue;
-      }
-      const duration delay = milliseconds(5 + static_cast<int64_t>(Pick(12)));
-      Later(delay, [this, &to, incarnation = to.incarnation, name = from.name,
-                    digest] { Receive(to, incarnation, name, digest); });
+                                  FailingMs(state.record.member),
+                                  state.followers_reaching,
+                                  state.followers_failing});
     }
-    // A VM that missed changes reads all again once it can.
-    if (missed_.contains(from.name) && store_up && !from.store_cut &&
-        !from.deaf_watch) {
-      missed_.erase(from.name);
-      Load(from);
+    digest.watching = Relays(from);
+    digest.follows = Follows(from, to);
+    vouched told = from.mind->Vouched(now_, !Relays(to));
+    digest.stops = std::move(told.stops);
+    digest.coverage = std::move(told.coverage);
+    digest.duty_age_ms = told.duty_age_ms;
+    vm::heard& known = from.peers[to.name];
+    digest.sequence = ++known.last_sent;
+    digest.echo = known.last_received;
+    known.sent[digest.sequence] = now_;
+    if (from.peers_cut || to.peers_cut || Chance(0.02)) {
+      return;
     }
+    const duration delay = milliseconds(5 + static_cast<int64_t>(Pick(12)));
+    Later(delay, [this, &to, incarnation = to.incarnation, &from, digest] {
+      Receive(to, incarnation, from, digest);
+    });
   }
 
   void Receive(vm& to,
                int64_t incarnation,
-               const std::string& from,
+               vm& from,
                const wire::fleet_digest& digest) {
     if (!to.alive || to.incarnation != incarnation) {
       return;
     }
     if (now_ < to.frozen_until) {
       Later(std::chrono::duration_cast<duration>(to.frozen_until - now_),
-            [this, &to, incarnation, from, digest] {
+            [this, &to, incarnation, &from, digest] {
               Receive(to, incarnation, from, digest);
             });
       return;
     }
-    vm::heard& known = to.peers[from];
+    vm::heard& known = to.peers[from.name];
     known.last_received = digest.sequence;
-    digest_arrived arrived{from, digest, std::nullopt};
+    digest_arrived arrived{from.name, digest, std::nullopt};
     const auto echoed = known.sent.find(digest.echo);
     if (digest.echo != 0 && echoed != known.sent.end()) {
       arrived.echo_sent = echoed->second;
     }
     Step(to, arrived);
+    if (!digest.watching) {
+      SendDigest(to, from);
+    }
   }
 
   void Load(vm& of) {
--- a/src/leadership/records.cc
+++ b/src/leadership/records.cc
@@ -1,5 +1,6 @@
 // Records of the fleet in the store, as JSON.
 #include <fmt/format.h>
+#include <xxhash.h>
 
 #include <nlohmann/json.hpp>
 
@@ -57,6 +58,14 @@
   return std::string(kKeyPrefix) + "duty/primary";
 }
 
+uint64_t HashOfVms(const std::vector<std::string_view>& names) {
+  uint64_t hash = names.size();
+  for (const std::string_view name : names) {
+    hash = XXH3_64bits_withSeed(name.data(), name.size(), hash);
+  }
+  return hash;
+}
+
 std::string EncodePrimary(const primary_record& record) {
   return json{{"member", record.member},
               {"term", record.term},
@@ -71,6 +80,7 @@
               {"availability_zone", record.availability_zone},
               {"region", record.region},
               {"incarnation", record.incarnation},
+              {"capacity", record.capacity},
               {"stopped", record.stopped}}
       .dump();
 }
@@ -107,6 +117,8 @@
             record.incarnation)) {
     return Invalid(item);
   }
+  // VMs of an earlier version do not write it.
+  Read(value, "capacity", &json::is_number_integer, record.capacity);
   const auto stopped = value.find("stopped");
   if (stopped != value.end() && stopped->is_object()) {
     for (const auto& [group, epoch] : stopped->items()) {
--- a/src/runtime/line/fleet_exchange.cc
+++ b/src/runtime/line/fleet_exchange.cc
@@ -10,6 +10,23 @@
 constexpr size_t kKeptSends = 16;
 // A VM that is not registered and was not heard for this long is forgotten.
 constexpr duration kUnregisteredLifetime = seconds(10);
+// Four intervals of a follower's digests.
+constexpr duration kFollowerLifetime = seconds(2);
+// Relays that are asked at once by a VM that follows none.
+constexpr size_t kCandidates = 3;
+
+wire::usage_scope ScopeFor(fleet_exchange::relation to) {
+  switch (to) {
+    case fleet_exchange::relation::kPeer:
+      return wire::usage_scope::kFollowers;
+    case fleet_exchange::relation::kFollower:
+      return wire::usage_scope::kFleet;
+    case fleet_exchange::relation::kHome:
+    case fleet_exchange::relation::kCandidate:
+      return wire::usage_scope::kOwn;
+  }
+  return wire::usage_scope::kOwn;
+}
 
 }  // namespace
 
@@ -18,7 +35,9 @@
   for (auto& [name, each] : peers_) {
     each.registered = false;
   }
+  std::vector<relay::vm> fleet;
   for (const leadership::vm_registration& vm : vms) {
+    fleet.push_back({vm.name, vm.availability_zone, vm.region, vm.capacity});
     if (vm.name == self_) {
       continue;
     }
@@ -26,43 +45,120 @@
     known.registered = true;
     known.address = vm.peer_address;
   }
+  plan_.SetFleet(fleet);
 }
 
-std::vector<fleet_exchange::target> fleet_exchange::Targets() {
-  std::vector<target> all;
-  for (const auto& [name, each] : peers_) {
-    all.push_back({name, each.address});
+bool fleet_exchange::ChooseHome(time_point now) {
+  std::string chosen;
+  if (!plan_.IsRelay()) {
+    chosen = choice_.Choose(now, plan_.Preferred(), sights_).value_or("");
+  }
+  return std::exchange(home_, chosen) != home_;
+}
+
+fleet_exchange::target fleet_exchange::TargetOf(const std::string& vm,
+                                                time_point now) const {
+  const auto found = peers_.find(vm);
+  target to{vm, AddressOf(vm), relation::kPeer};
+  if (found != peers_.end() && IsFollower(found->second, now)) {
+    to.to = relation::kFollower;
+  } else if (!plan_.IsRelay()) {
+    to.to = vm == home_ ? relation::kHome : relation::kCandidate;
   }
-  if (all.empty()) {
+  return to;
+}
+
+std::vector<fleet_exchange::target> fleet_exchange::Targets(
+    time_point now) const {
+  std::vector<target> targets;
+  if (peers_.empty()) {
     for (const std::string& seed : seeds_) {
-      all.push_back({"seed " + seed, seed});
+      targets.push_back({"seed " + seed, seed, relation::kPeer});
+    }
+    return targets;
+  }
+  for (const auto& [name, each] : peers_) {
+    // Relays, and VMs that are not registered yet but were heard, as in a
+    // restart while the store is away.
+    const bool exchanges =
+        plan_.IsRelay() && (plan_.IsRelay(name) || !each.registered);
+    if (exchanges || IsFollower(each, now) || name == home_) {
+      targets.push_back(TargetOf(name, now));
     }
   }
-  if (all.size() <= kFanOut) {
-    return all;
+  if (plan_.IsRelay()) {
+    return targets;
   }
-  std::vector<target> some;
-  for (size_t i = 0; i < kFanOut; ++i) {
-    some.push_back(all[(next_target_ + i) % all.size()]);
+  // Each relay of a zone hears all VMs of the zone, so that it can vouch for
+  // them, and a VM whose relay is lost has heard another one already.
+  const auto sight = sights_.find(home_);
+  const bool settled = sight != sights_.end() && sight->second.reaches_store;
+  const size_t others =
+      settled ? relay::relay_plan::kLeastRelays - 1 : kCandidates;
+  size_t asked = 0;
+  for (const std::string& name : plan_.Preferred()) {
+    if (asked >= others) {
+      break;
+    }
+    if (name != home_) {
+      targets.push_back(TargetOf(name, now));
+      ++asked;
+    }
   }
-  next_target_ = (next_target_ + kFanOut) % all.size();
-  return some;
+  return targets;
 }
 
-void fleet_exchange::Stamp(const std::string& vm,
+std::vector<std::string> fleet_exchange::Followers(time_point now) const {
+  std::vector<std::string> names;
+  for (const auto& [name, each] : peers_) {
+    if (IsFollower(each, now)) {
+      names.push_back(name);
+    }
+  }
+  return names;
+}
+
+bool fleet_exchange::IsFollower(const peer& of, time_point now) const {
+  return of.follows && now - of.heard < kFollowerLifetime;
+}
+
+void fleet_exchange::Stamp(const target& to,
                            time_point now,
+                           const std::vector<wire::organisation_usage>& own,
                            wire::fleet_digest& digest) {
-  const auto found = peers_.find(vm);
+  const auto found = peers_.find(to.vm);
   if (found == peers_.end()) {
     return;  // A seed, whose name is not known yet.
   }
-  peer& to = found->second;
-  digest.sequence = ++to.last_sent;
-  digest.echo = to.last_received;
-  to.sent.emplace_back(digest.sequence, now);
-  if (to.sent.size() > kKeptSends) {
-    to.sent.pop_front();
+  peer& receiver = found->second;
+  digest.sequence = ++receiver.last_sent;
+  digest.echo = receiver.last_received;
+  digest.follows = to.to == relation::kHome;
+  receiver.sent.emplace_back(digest.sequence, now);
+  if (receiver.sent.size() > kKeptSends) {
+    receiver.sent.pop_front();
+  }
+  if (to.to == relation::kCandidate) {
+    return;  // The relay that is followed counts this VM's operations.
   }
+  digest.scope = ScopeFor(to.to);
+  totals_.Expire(now);
+  digest.counted_vms = totals_.CountedVms(digest.scope, to.vm);
+  digest.usage = totals_.Report(own, digest.scope, to.vm);
+}
+
+// Each operation is to be counted by one way only.
+bool fleet_exchange::CountsUsage(const std::string& vm,
+                                 const wire::fleet_digest& digest) const {
+  switch (digest.scope) {
+    case wire::usage_scope::kOwn:
+      return digest.follows;
+    case wire::usage_scope::kFollowers:
+      return plan_.IsRelay();
+    case wire::usage_scope::kFleet:
+      return vm == home_;
+  }
+  return false;
 }
 
 std::optional<fleet_exchange::received> fleet_exchange::Take(
@@ -76,46 +172,37 @@
     return !each.second.registered && each.first != vm &&
            now - each.second.heard > kUnregisteredLifetime;
   });
-  const bool first_heard =
-      !peers_.contains(vm) || peers_.at(vm).incarnation == 0;
   peer& from = peers_[vm];
   if (digest.incarnation < from.incarnation) {
     return std::nullopt;
   }
   if (digest.incarnation > from.incarnation) {
-    // A new process counts anew, and has received nothing yet.
+    // A new process has received nothing yet.
     from.incarnation = digest.incarnation;
     from.last_received = 0;
-    from.admitted.clear();
   }
   if (digest.sequence != 0 && digest.sequence <= from.last_received) {
     return std::nullopt;
   }
+  received result;
+  result.new_follower = digest.follows && !IsFollower(from, now);
   from.heard = now;
+  from.follows = digest.follows;
   from.last_received = digest.sequence;
   if (!from.registered) {
     from.address = digest.peer_address;
   }
-  received result;
+  sights_[vm] = {vm, digest.watching && !digest.leaving, digest.reaches_store,
+                 now};
   const auto echoed =
       std::find_if(from.sent.begin(), from.sent.end(),
                    [&](const auto& each) { return each.first == digest.echo; });
   if (digest.echo != 0 && echoed != from.sent.end()) {
     result.echo_sent = echoed->second;
   }
-  for (const wire::organisation_usage& each : digest.usage) {
-    uint64_t& known = from.admitted[each.organisation];
-    if (first_heard) {
-      // What it admitted before this VM listened is long spent.
-      known = each.admitted;
-    }
-    if (each.admitted > known) {
-      result.operations.emplace_back(
-          each.organisation, static_cast<double>(each.admitted - known));
-      known = each.admitted;
-    } else {
-      result.operations.emplace_back(each.organisation, 0.0);
-    }
+  if (CountsUsage(vm, digest)) {
+    result.operations = totals_.Take(vm, digest.incarnation, digest.scope,
+                                     digest.counted_vms, digest.usage, now);
   }
   return result;
 }
--- a/src/runtime/line/fleet_exchange.h
+++ b/src/runtime/line/fleet_exchange.h
@@ -10,38 +10,65 @@
 #include <vector>
 
 #include "tarragondale/leadership.h"
+#include "tarragondale/relay.h"
 #include "tarragondale/wire.h"
 
 namespace tarragondale::runtime {
 
-/// @brief Knows the other VMs and the digests sent to and received from each.
-/// No I/O.
+/// @brief Knows the other VMs, which of them relay, and the digests sent to and
+/// received from each. No I/O.
 class fleet_exchange {
  public:
+  enum class relation : uint8_t {
+    kPeer,       ///< Both relay, or the receiver is not known yet.
+    kFollower,   ///< The receiver follows this VM.
+    kHome,       ///< This VM follows the receiver.
+    kCandidate,  ///< A relay that this VM may follow.
+  };
   struct target {
     std::string vm;
     std::string address;
+    relation to = relation::kPeer;
   };
 
   /// @param seeds Peer addresses that are asked while no VM is known.
-  fleet_exchange(std::string self, std::vector<std::string> seeds)
-      : self_(std::move(self)), seeds_(std::move(seeds)) {}
+  fleet_exchange(const std::string& self, std::vector<std::string> seeds)
+      : self_(self), seeds_(std::move(seeds)), plan_(self) {}
 
   void SetSeeds(std::vector<std::string> seeds) { seeds_ = std::move(seeds); }
 
   void SetFleet(const std::vector<leadership::vm_registration>& vms);
 
-  /// @brief VMs that get a digest now, at most `kFanOut` of them in turn.
-  std::vector<target> Targets();
-
-  /// @brief Fills in the sequence and the echo of a digest to `vm`.
-  void Stamp(const std::string& vm, time_point now, wire::fleet_digest& digest);
+  /// @brief Chooses the relay to follow anew; false if it stays the same.
+  bool ChooseHome(time_point now);
+
+  /// @brief Whether this VM relays by the registered VMs.
+  bool relays() const { return plan_.IsRelay(); }
+  int relay_rank() const { return plan_.Rank(); }
+  /// @brief Whether there are relays that this VM could follow.
+  bool has_relays() const { return !plan_.Preferred().empty(); }
+  /// @brief The relay that this VM follows; empty if it follows none.
+  const std::string& home() const { return home_; }
+
+  /// @brief VMs that get a digest now.
+  std::vector<target> Targets(time_point now) const;
+  /// @brief How a digest to a VM is made.
+  target TargetOf(const std::string& vm, time_point now) const;
+  std::vector<std::string> Followers(time_point now) const;
+
+  /// @brief Fills in the sequence, the echo and the usage of a digest.
+  /// @param own What this VM admitted itself.
+  void Stamp(const target& to,
+             time_point now,
+             const std::vector<wire::organisation_usage>& own,
+             wire::fleet_digest& digest);
 
   struct received {
     /// When this VM sent the digest that the sender had received.
     std::optional<time_point> echo_sent;
-    /// Operations that the sender admitted since its last digest.
-    std::vector<std::pair<std::string, double>> operations;
+    /// Operations admitted elsewhere that were not known before.
+    std::vector<relay::usage_totals::increment> operations;
+    bool new_follower = false;
   };
   /// @brief Takes a digest; empty for one that is outdated.
   std::optional<received> Take(const std::string& vm,
@@ -51,24 +78,30 @@
   /// @brief Address of a VM; empty if it is not known.
   std::string AddressOf(const std::string& vm) const;
 
-  static constexpr size_t kFanOut = 16;
-
  private:
   struct peer {
     std::string address;
     bool registered = false;
     int64_t incarnation = 0;
     time_point heard;
+    bool follows = false;
     uint64_t last_sent = 0;
     uint64_t last_received = 0;
     std::deque<std::pair<uint64_t, time_point>> sent;  ///< Newest last.
-    std::map<std::string, uint64_t> admitted;
   };
 
+  bool IsFollower(const peer& of, time_point now) const;
+  bool CountsUsage(const std::string& vm,
+                   const wire::fleet_digest& digest) const;
+
   const std::string self_;
   std::vector<std::string> seeds_;
-  std::map<std::string, peer> peers_;
-  size_t next_target_ = 0;
+  relay::relay_plan plan_;
+  relay::relay_choice choice_;
+  std::map<std::string, relay::relay_sight, std::less<>> sights_;
+  relay::usage_totals totals_;
+  std::string home_;
+  std::map<std::string, peer, std::less<>> peers_;
 };
 
 }  // namespace tarragondale::runtime
--- a/src/runtime/line/http_channel.cc
+++ b/src/runtime/line/http_channel.cc
@@ -31,7 +31,9 @@
 class http_channel::connection
     : public std::enable_shared_from_this<connection> {
  public:
-  explicit connection(net::io_context& context) : stream_(context) {}
+  connection(net::io_context& context,
+             std::shared_ptr<std::chrono::steady_clock::time_point> progress)
+      : stream_(context), last_progress_(std::move(progress)) {}
 
   bool busy() const { return busy_; }
   bool open() const { return open_; }
@@ -57,6 +59,7 @@
     }
     request_.body() = call.body;
     request_.prepare_payload();
+    limit_ = limit;
     stream_.expires_after(limit);
     if (open_) {
       return Write();
@@ -95,10 +98,20 @@
   void Read() {
     parser_.emplace();
     parser_->body_limit(kMaxAnswerBytes);
-    http::async_read(
+    ReadSome();
+  }
+
+  // An answer that keeps arriving is not given up, however large it is.
+  void ReadSome() {
+    http::async_read_some(
         stream_, buffer_, *parser_,
         [self = shared_from_this()](beast::error_code error, size_t) {
-          self->Finish(error);
+          if (error || self->parser_->is_done()) {
+            return self->Finish(error);
+          }
+          *self->last_progress_ = std::chrono::steady_clock::now();
+          self->stream_.expires_after(self->limit_);
+          self->ReadSome();
         });
   }
 
@@ -125,10 +138,12 @@
   }
 
   beast::tcp_stream stream_;
+  std::shared_ptr<std::chrono::steady_clock::time_point> last_progress_;
   beast::flat_buffer buffer_;
   http::request<http::string_body> request_;
   std::optional<http::response_parser<http::string_body>> parser_;
   callback done_;
+  duration limit_{0};  ///< Without progress.
   bool busy_ = false;
   bool open_ = false;
   bool sent_ = false;
@@ -187,7 +202,7 @@
     });
   }
   if (!idle) {
-    idle = std::make_shared<connection>(context_);
+    idle = std::make_shared<connection>(context_, last_progress_);
     connections_.push_back(idle);
   }
   return idle;
--- a/src/runtime/line/http_channel.h
+++ b/src/runtime/line/http_channel.h
@@ -37,11 +37,17 @@
   /// @brief Sends later calls to `address`; running ones go on.
   void SetAddress(const std::string& address);
 
-  /// @brief Calls `done` once, within `limit`, and never before returning.
+  /// @brief Calls `done` once, and never before returning. A call ends without
+  /// an answer when nothing of it arrived for `limit`.
   void Call(const platform::http_request& request,
             duration limit,
             callback done);
 
+  /// @brief When a part of a long answer arrived last.
+  std::chrono::steady_clock::time_point last_progress() const {
+    return *last_progress_;
+  }
+
  private:
   class connection;
 
@@ -51,6 +57,9 @@
   std::string address_;
   boost::asio::ip::tcp::endpoint endpoint_;
   std::vector<std::shared_ptr<connection>> connections_;
+  // Shared with the connections, which outlive the channel by a callback.
+  std::shared_ptr<std::chrono::steady_clock::time_point> last_progress_ =
+      std::make_shared<std::chrono::steady_clock::time_point>();
 };
 
 }  // namespace tarragondale::runtime
--- a/src/runtime/line/store_mirror.cc
+++ b/src/runtime/line/store_mirror.cc
@@ -9,10 +9,17 @@
 
 namespace {
 
+// Without a byte of the answer.
 constexpr duration kLoadLimit = milliseconds(1'200);
+// An answer that arrived in part so recently is still arriving.
+constexpr duration kProgressSpan = milliseconds(400);
+// Many changes in a row, as when a fleet registers, are taken together.
+constexpr duration kWatchPause = milliseconds(20);
+constexpr duration kStartWatchPause = milliseconds(250);
+constexpr duration kStartSpan = seconds(2);
 // A watch that is silent for longer has lost its connection.
-constexpr milliseconds kWatchWait(5'000);
-constexpr duration kWatchLimit = milliseconds(6'000);
+constexpr milliseconds kWatchWait(10'000);
+constexpr duration kWatchLimit = milliseconds(11'000);
 // How long a known revision may be missing before the watch counts as silent.
 // Short enough that a configuration is in force in time.
 constexpr duration kExpectedLimit = milliseconds(800);
@@ -37,9 +44,26 @@
   check_timer_.cancel();
 }
 
+void store_mirror::Pause() {
+  ++generation_;
+  paused_ = true;
+  loading_now_ = false;
+  timer_.cancel();
+}
+
+void store_mirror::Resume(int64_t revision) {
+  paused_ = false;
+  revision_ = std::max(revision_, revision);
+  if (revision_ == 0) {
+    return Load();
+  }
+  ++generation_;
+  Watch();
+}
+
 void store_mirror::Expect(int64_t revision) {
   expected_ = std::max(expected_, revision);
-  if (expected_ <= revision_ || checking_ || stopped_) {
+  if (expected_ <= revision_ || checking_ || stopped_ || paused_) {
     return;
   }
   checking_ = true;
@@ -47,21 +71,37 @@
   check_timer_.async_wait(
       [this, awaited = expected_](boost::system::error_code error) {
         checking_ = false;
-        // While the store does not answer, its return is awaited anyway.
-        if (!error && !stopped_ && reachable_ && revision_ < awaited) {
-          Log(log_level::kWarning, log_part::kStore,
-              "the watch is silent at revision {}, the store is at {}; all is "
-              "loaded anew.",
-              revision_, awaited);
-          Load();
+        if (!error) {
+          CheckWatch(awaited);
         }
       });
 }
 
+// While the store does not answer, its return is awaited anyway.
+void store_mirror::CheckWatch(int64_t awaited) {
+  const bool watches = !stopped_ && !paused_ && !loading_now_ && reachable_;
+  if (!watches || revision_ >= awaited) {
+    return;
+  }
+  if (std::chrono::steady_clock::now() - channel_.last_progress() <
+      kProgressSpan) {
+    return Expect(expected_);  // A long answer is arriving.
+  }
+  Log(log_level::kWarning, log_part::kStore,
+      "the watch is silent at revision {}, the store is at {}; all is loaded "
+      "anew.",
+      revision_, awaited);
+  Load();
+}
+
 void store_mirror::Load() {
   ++generation_;
   timer_.cancel();
   loading_.clear();
+  loading_now_ = true;
+  if (quick_from_ == time_point()) {
+    quick_from_ = std::chrono::steady_clock::now() + kStartSpan;
+  }
   first_page_ = 0;
   LoadPage("");
 }
@@ -77,6 +117,7 @@
               }
               if (reply.status != call_status::kDone) {
                 SetReachable(false, reply.reason);
+                loading_now_ = false;
                 return RetryLater(true);
               }
               SetReachable(true, "");
@@ -90,9 +131,10 @@
               if (reply.more && !last.empty()) {
                 return LoadPage(last);
               }
-              revision_ = first_page_;
-              handlers_.loaded(std::exchange(loading_, {}));
-              Watch();
+              revision_ = std::max(revision_, first_page_);
+              loading_now_ = false;
+              handlers_.loaded(std::exchange(loading_, {}), first_page_);
+              WatchLater();
             });
 }
 
@@ -118,9 +160,24 @@
         SetReachable(true, "");
         revision_ = std::max(revision_, reply.revision);
         if (!reply.changes.empty()) {
-          handlers_.changed(reply.changes);
+          handlers_.changed(reply.changes, reply.revision);
+        }
+        reply.changes.empty() ? Watch() : WatchLater();
+      });
+}
+
+// The handlers may have paused the mirror.
+void store_mirror::WatchLater() {
+  if (paused_ || stopped_) {
+    return;
+  }
+  const bool starting = std::chrono::steady_clock::now() < quick_from_;
+  timer_.expires_after(starting ? kStartWatchPause : kWatchPause);
+  timer_.async_wait(
+      [this, generation = generation_](boost::system::error_code error) {
+        if (!error && !stopped_ && generation == generation_) {
+          Watch();
         }
-        Watch();
       });
 }
 
@@ -128,7 +185,7 @@
   std::uniform_int_distribution<int64_t> pause(kRetryMinMs, kRetryMaxMs);
   timer_.expires_after(milliseconds(pause(random_)));
   timer_.async_wait([this, load](boost::system::error_code error) {
-    if (!error && !stopped_) {
+    if (!error && !stopped_ && !paused_) {
       load ? Load() : Watch();
     }
   });
--- /dev/null
+++ b/src/runtime/line/store_view.h
@@ -0,0 +1,54 @@
+// What the store's keys say: the configuration and the list of members.
+#ifndef TARRAGONDALE_SRC_RUNTIME_LINE_STORE_VIEW_H_
+#define TARRAGONDALE_SRC_RUNTIME_LINE_STORE_VIEW_H_
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "src/runtime/line/member_listing.h"
+#include "tarragondale/interactive.h"
+#include "tarragondale/leadership.h"
+#include "tarragondale/store/keyspace.h"
+
+namespace tarragondale::runtime {
+
+/// @brief Decodes keys and tells what changed. No I/O.
+class store_view {
+ public:
+  struct handlers {
+    /// A newer configuration is in force.
+    std::function<void(interactive::catalogue_ptr)> configuration;
+    std::function<void(interactive::member_directory_ptr)> members;
+    /// Keys of the fleet itself.
+    std::function<void(leadership::event)> fleet;
+  };
+
+  explicit store_view(handlers handlers) : handlers_(std::move(handlers)) {}
+
+  /// @brief All keys were read. `source` is for people.
+  void Load(const std::vector<store::keyspace::item>& items,
+            std::string_view source);
+
+  void Apply(const std::vector<store::keyspace::change>& changes,
+             std::string_view source);
+
+  bool loaded() const { return loaded_; }
+  const interactive::catalogue_ptr& catalogue() const { return catalogue_; }
+  const interactive::member_directory& members() const {
+    return listing_.members();
+  }
+
+ private:
+  void SeeConfiguration(const std::string& value, std::string_view source);
+  void PublishMembers();
+
+  const handlers handlers_;
+  bool loaded_ = false;
+  member_listing listing_;
+  interactive::catalogue_ptr catalogue_;  ///< Its version never falls.
+};
+
+}  // namespace tarragondale::runtime
+
+#endif  // TARRAGONDALE_SRC_RUNTIME_LINE_STORE_VIEW_H_
--- a/src/wire/fields.h
+++ b/src/wire/fields.h
@@ -173,7 +173,9 @@
                                             &primary_state::position,
                                             &primary_state::position_age_ms,
                                             &primary_state::answer_age_ms,
-                                            &primary_state::failing_ms);
+                                            &primary_state::failing_ms,
+                                            &primary_state::followers_reaching,
+                                            &primary_state::followers_failing);
 };
 
 template <>
@@ -183,48 +185,142 @@
                                             &organisation_usage::demand_per_s);
 };
 
+template <>
+struct fields<stop_notice> {
+  static constexpr auto kTable = FieldTable(&stop_notice::vm,
+                                            &stop_notice::incarnation,
+                                            &stop_notice::group,
+                                            &stop_notice::epoch);
+};
+
+template <>
+struct fields<zone_coverage> {
+  static constexpr auto kTable = FieldTable(&zone_coverage::availability_zone,
+                                            &zone_coverage::vms_hash,
+                                            &zone_coverage::age_ms,
+                                            &zone_coverage::except);
+};
+
 template <>
 struct fields<fleet_digest> {
-  static constexpr auto kTable =
-      FieldTable(&fleet_digest::sequence,
-                 &fleet_digest::echo,
-                 &fleet_digest::incarnation,
-                 &fleet_digest::peer_address,
-                 &fleet_digest::store_revision,
-                 &fleet_digest::leaving,
-                 &fleet_digest::configuration_version,
-                 &fleet_digest::directory_revision,
-                 &fleet_digest::confirmed_age_ms,
-                 &fleet_digest::primaries,
-                 &fleet_digest::usage);
+  static constexpr auto kTable = FieldTable(&fleet_digest::sequence,
+                                            &fleet_digest::echo,
+                                            &fleet_digest::incarnation,
+                                            &fleet_digest::peer_address,
+                                            &fleet_digest::watching,
+                                            &fleet_digest::reaches_store,
+                                            &fleet_digest::follows,
+                                            &fleet_digest::store_revision,
+                                            &fleet_digest::leaving,
+                                            &fleet_digest::confirmed_age_ms,
+                                            &fleet_digest::duty_age_ms,
+                                            &fleet_digest::primaries,
+                                            &fleet_digest::scope,
+                                            &fleet_digest::counted_vms,
+                                            &fleet_digest::usage,
+                                            &fleet_digest::stops,
+                                            &fleet_digest::coverage);
 };
 
 template <>
-struct fields<configuration_request> {
-  static constexpr auto kTable = FieldTable(&configuration_request::version);
+struct fields<store_request> {
+  static constexpr auto kTable = FieldTable(&store_request::revision);
 };
 
 template <>
-struct fields<configuration_copy> {
-  static constexpr auto kTable =
-      FieldTable(&configuration_copy::version, &configuration_copy::value);
+struct fields<store_entry> {
+  static constexpr auto kTable = FieldTable(&store_entry::key,
+                                            &store_entry::value,
+                                            &store_entry::revision,
+                                            &store_entry::removed,
+                                            &store_entry::packed);
 };
 
 template <>
-struct fields<directory_request> {
-  static constexpr auto kTable = FieldTable(&directory_request::revision);
+struct fields<store_changes> {
+  static constexpr auto kTable = FieldTable(&store_changes::complete,
+                                            &store_changes::after,
+                                            &store_changes::revision,
+                                            &store_changes::entries);
 };
 
 template <>
-struct fields<directory_entry> {
+struct fields<named_value> {
   static constexpr auto kTable =
-      FieldTable(&directory_entry::key, &directory_entry::value);
+      FieldTable(&named_value::name, &named_value::value);
 };
 
 template <>
-struct fields<directory_copy> {
-  static constexpr auto kTable =
-      FieldTable(&directory_copy::revision, &directory_copy::entries);
+struct fields<prepared_shape> {
+  static constexpr auto kTable = FieldTable(&prepared_shape::name,
+                                            &prepared_shape::shape,
+                                            &prepared_shape::writes);
+};
+
+template <>
+struct fields<hosting_id> {
+  static constexpr auto kTable = FieldTable(&hosting_id::incarnation,
+                                            &hosting_id::session,
+                                            &hosting_id::stay);
+};
+
+template <>
+struct fields<hosted_open> {
+  static constexpr auto kTable = FieldTable(&hosted_open::id,
+                                            &hosted_open::database,
+                                            &hosted_open::organisation,
+                                            &hosted_open::values,
+                                            &hosted_open::prepared,
+                                            &hosted_open::written);
+};
+
+template <>
+struct fields<hosted_statement> {
+  static constexpr auto kTable = FieldTable(&hosted_statement::id,
+                                            &hosted_statement::sequence,
+                                            &hosted_statement::statement,
+                                            &hosted_statement::kind,
+                                            &hosted_statement::text,
+                                            &hosted_statement::name,
+                                            &hosted_statement::argument,
+                                            &hosted_statement::writes);
+};
+
+template <>
+struct fields<hosted_close> {
+  static constexpr auto kTable = FieldTable(&hosted_close::id);
+};
+
+template <>
+struct fields<hosted_answer> {
+  static constexpr auto kTable = FieldTable(&hosted_answer::id,
+                                            &hosted_answer::sequence,
+                                            &hosted_answer::code,
+                                            &hosted_answer::reason,
+                                            &hosted_answer::rows,
+                                            &hosted_answer::signature,
+                                            &hosted_answer::state,
+                                            &hosted_answer::position,
+                                            &hosted_answer::close);
+};
+
+template <>
+struct fields<hosted_ended> {
+  static constexpr auto kTable = FieldTable(&hosted_ended::id,
+                                            &hosted_ended::known,
+                                            &hosted_ended::handled,
+                                            &hosted_ended::refused,
+                                            &hosted_ended::closed);
+};
+
+template <>
+struct fields<host_check> {
+  static constexpr auto kTable = FieldTable(&host_check::id);
+};
+
+template <>
+struct fields<host_alive> {
+  static constexpr auto kTable = FieldTable(&host_alive::id);
 };
 
 /// @brief Highest valid value of an enum in a message.
@@ -242,6 +338,9 @@
 template <>
 inline constexpr int kLastEnumerator<vm_state> =
     static_cast<int>(vm_state::kDead);
+template <>
+inline constexpr int kLastEnumerator<usage_scope> =
+    static_cast<int>(usage_scope::kFleet);
 
 }  // namespace tarragondale::wire
 
--- a/src/wire/names.cc
+++ b/src/wire/names.cc
@@ -13,11 +13,13 @@
 constexpr std::array kVmStates = {"joining"sv, "alive"sv, "suspect"sv,
                                   "leaving"sv, "dead"sv};
 constexpr std::array kMessageTypes = {
-    "execute_request"sv,   "execute_answer"sv,        "cancel_request"sv,
-    "group_report"sv,      "group_interest"sv,        "probe"sv,
-    "probe_answer"sv,      "reach_request"sv,         "reach_answer"sv,
-    "fleet_digest"sv,      "configuration_request"sv, "configuration_copy"sv,
-    "directory_request"sv, "directory_copy"sv};
+    "execute_request"sv, "execute_answer"sv,   "cancel_request"sv,
+    "group_report"sv,    "group_interest"sv,   "probe"sv,
+    "probe_answer"sv,    "reach_request"sv,    "reach_answer"sv,
+    "fleet_digest"sv,    "store_request"sv,    "store_changes"sv,
+    "hosted_open"sv,     "hosted_statement"sv, "hosted_close"sv,
+    "hosted_answer"sv,   "hosted_ended"sv,     "host_check"sv,
+    "host_alive"sv};
 static_assert(kMessageTypes.size() == std::variant_size_v<message_body>);
 
 template <typename E, size_t N>
