Give a link up whose transaction is open when its caller has left

Cause: a member that is too busy answers a commit as not run and keeps the transaction open.

Ruled out: a rollback that is refused (its link was closed already), a begin in flight (CallerThatLeavesDuringTheBeginIsRolledBack).

CommitRefusedAfterItsCallerLeftGivesTheLinkUp failed before and passes now.

--- a/src/interactive/broker_links.cc
+++ b/src/interactive/broker_links.cc
@@ -124,10 +124,13 @@
         !IsCallersStatement(awaited.what)) {
       return CloseLink(on->id);  // Its state is not known any more.
     }
-    if (on->awaited.empty()) {
-      Release(*on);
+    if (!on->awaited.empty()) {
+      return;
     }
-    return;
+    if (event.answer.state != transaction_state::kIdle) {
+      return CloseLink(on->id);  // A commit was refused, for example.
+    }
+    return Release(*on);
   }
   if (awaited.what == step::kBegin || awaited.what == step::kBeginReadOnly) {
     return OnBegun(owner->second, *on, event.answer);
--- a/src/interactive/broker_test.cc
+++ b/src/interactive/broker_test.cc
@@ -189,6 +189,25 @@
   EXPECT_FALSE(test.links().at(on).in_transaction);
 }
 
+// Guards against a statement inside another caller's transaction: a member that
+// is too busy for a commit leaves the transaction open.
+TEST(BrokerTest, CommitRefusedAfterItsCallerLeftGivesTheLinkUp) {
+  broker_harness test;
+  test.Open(1, "own");
+  test.Send(1, kBegin);
+  test.Send(1, kWrite, "WRITE a b");
+  test.AnswerAll();
+  test.Send(1, kCommit, "COMMIT");
+  const link_id on = test.Busy("p");
+  test.Step(caller_closed{1});
+  test.Answer(on, member_code::kBusy);
+  test.Open(2, "own");
+  test.Send(2, kWrite, "WRITE c d");
+  const link_id next = test.Busy("p");
+  ASSERT_NE(next, 0U);
+  EXPECT_FALSE(test.links().at(next).in_transaction);
+}
+
 TEST(BrokerTest, IdleTransactionIsRolledBack) {
   broker_harness test;
   test.Open(1, "own");
--- a/src/runtime/line/hosting_duty.cc
+++ b/src/runtime/line/hosting_duty.cc
@@ -53,6 +53,7 @@
 void hosting_duty::SetFleet(
     const std::vector<leadership::vm_registration>& vms) {
   std::vector<relay::vm> fleet;
+  fleet.reserve(vms.size());
   for (const leadership::vm_registration& vm : vms) {
     fleet.push_back({vm.name, vm.availability_zone, vm.region, vm.capacity});
   }
