--- a/src/hosting/hosting_test.cc
+++ b/src/hosting/hosting_test.cc
@@ -18,6 +18,7 @@
 
 std::vector<relay::vm> Fleet(int vms, int large) {
   std::vector<relay::vm> fleet;
+  fleet.reserve(static_cast<size_t>(vms));
   for (int i = 0; i < vms; ++i) {
     fleet.push_back({fmt::format("vm-{}", i), fmt::format("z{}", i % 6),
                      i % 2 == 0 ? "north" : "south", i < large ? 512 : 160});
--- a/src/relay/relay_test.cc
+++ b/src/relay/relay_test.cc
@@ -14,6 +14,7 @@
 
 std::vector<vm> Fleet(int vms, int zones, int large_in_zone = 0) {
   std::vector<vm> fleet;
+  fleet.reserve(static_cast<size_t>(vms));
   for (int i = 0; i < vms; ++i) {
     const int zone = i % zones;
     fleet.push_back({fmt::format("vm-{}", i), fmt::format("z{}", zone),
--- a/src/runtime/line/fleet_exchange_test.cc
+++ b/src/runtime/line/fleet_exchange_test.cc
@@ -61,6 +61,7 @@
 
 std::vector<leadership::vm_registration> Registrations(int vms) {
   std::vector<leadership::vm_registration> all;
+  all.reserve(static_cast<size_t>(vms));
   for (int i = 0; i < vms; ++i) {
     leadership::vm_registration vm{"vm-" + std::to_string(i), "127.0.0.1:2",
                                    "z" + std::to_string(i % 6), "r", 1};
