Make digests of parts computed once; one rendezvous weight, one capacity rule

No behaviour changes. A digest's coverage and duty age were computed for every receiver, and once more to count notices; they are made once, and the notices that differ by receiver on their own. Relays and hosts use the rendezvous weight of the fleet library and one rule for capable VMs; registrations are turned into planned VMs in one place. The forwarder's two ways to forget a host, and its two checks whether a transaction is undone, are one each; values that were never used otherwise are gone.

Tests keep their assertions; calls follow the changed signatures.

--- a/include/tarragondale/fleet.h
+++ b/include/tarragondale/fleet.h
@@ -36,6 +36,10 @@
   std::string region;             ///< Empty: no preference.
 };
 
+/// @brief Weight of a VM for a role in rendezvous hashing: the VMs with the
+/// highest weights carry the role.
+uint64_t RendezvousWeight(std::string_view role, std::string_view vm);
+
 /// @brief VM that carries the role `role`, by rendezvous hashing (Thaler and
 /// Ravishankar, 1998) over live VMs that are not leaving. VMs in the preferred
 /// zone go before VMs in the preferred region, and these before all others.
--- a/include/tarragondale/hosting.h
+++ b/include/tarragondale/hosting.h
@@ -17,6 +17,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -52,7 +53,7 @@
 
  private:
   const std::string self_;
-  std::vector<relay::vm> capable_;  ///< In this VM's region.
+  std::vector<std::string> capable_;  ///< VMs of this VM's region.
   int member_users_ = 0;
 };
 
@@ -108,7 +109,7 @@
   bool Open(time_point now, const interactive::caller_opened& event);
   /// @brief False: the session is not forwarded.
   bool Send(time_point now, const interactive::caller_sent& event);
-  bool Close(time_point now, interactive::session_id session);
+  bool Close(interactive::session_id session);
 
   void OnMessage(time_point now,
                  const std::string& vm,
@@ -160,12 +161,14 @@
 
   wire::hosting_id IdOf(interactive::session_id id, const session& of) const;
   const interactive::route* RouteOf(const session& of) const;
-  std::optional<std::string> ChooseHost(time_point now, const session& of);
+  std::string ChooseHost(time_point now, const session& of);
   bool HasAccess(const session& of) const;
   void SendWaiting(time_point now, interactive::session_id id);
   bool AnswerWithoutHost(interactive::session_id id, session& of);
   void MoveIn(time_point now, interactive::session_id id, session& of);
   void Leave(interactive::session_id id, session& of);
+  static void ForgetHost(session& of);
+  static bool IsUndone(const session& of, uint64_t not_run_from);
   void OnAnswer(time_point now, const wire::hosted_answer& answer);
   void OnEnded(time_point now,
                const std::string& vm,
--- a/include/tarragondale/leadership.h
+++ b/include/tarragondale/leadership.h
@@ -301,7 +301,6 @@
 
 /// @brief What a VM knows of others and passes on.
 struct vouched {
-  std::vector<wire::stop_notice> stops;
   std::vector<wire::zone_coverage> coverage;
   int64_t duty_age_ms = -1;  ///< See `wire::fleet_digest`.
 };
@@ -322,8 +321,11 @@
   std::map<std::string, group_state, std::less<>> Groups() const;
 
   /// @brief For digests.
-  /// @param relayed Include notices that other relays sent.
-  vouched Vouched(time_point now, bool relayed) const;
+  vouched Vouched(time_point now) const;
+
+  /// @brief Followers that gave rights up, for digests.
+  /// @param relayed Include those of other relays.
+  std::vector<wire::stop_notice> Stops(time_point now, bool relayed) const;
 
   /// @brief When the read of the newest confirmation was sent, by this VM or by
   /// one that told it so; empty: never.
--- a/include/tarragondale/relay.h
+++ b/include/tarragondale/relay.h
@@ -15,6 +15,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -35,6 +36,13 @@
   bool operator==(const vm&) const = default;
 };
 
+/// @brief Capacity of the largest of the VMs; 0: there are none.
+int64_t LargestCapacity(const std::vector<const vm*>& vms);
+
+/// @brief Whether a VM may get duties for others while there are enough such
+/// VMs: they come on top of its own callers.
+bool IsCapable(const vm& of, int64_t largest);
+
 /// @brief Says which VMs relay, and in which order a VM turns to them. Pure.
 class relay_plan {
  public:
@@ -63,7 +71,7 @@
 
  private:
   const std::string self_;
-  std::map<std::string, size_t, std::less<>> relays_;  ///< With their zone.
+  std::set<std::string, std::less<>> relays_;
   std::vector<std::string> preferred_;
   bool known_ = false;
   int rank_ = 0;
@@ -71,7 +79,6 @@
 
 /// @brief What decides which relay a VM follows.
 struct relay_sight {
-  std::string name;
   bool watching = false;       ///< As its last digest says.
   bool reaches_store = false;  ///< As its last digest says.
   time_point heard;
--- a/src/fleet/placement.cc
+++ b/src/fleet/placement.cc
@@ -8,11 +8,6 @@
 namespace tarragondale::fleet {
 namespace {
 
-uint64_t Weight(std::string_view role, std::string_view vm) {
-  const uint64_t role_hash = XXH3_64bits(role.data(), role.size());
-  return XXH3_64bits_withSeed(vm.data(), vm.size(), role_hash);
-}
-
 // 2: in the zone, 1: in the region, 0: elsewhere.
 int Nearness(const wire::vm_record& vm, const placement_preference& wanted) {
   if (!wanted.availability_zone.empty() &&
@@ -24,6 +19,11 @@
 
 }  // namespace
 
+uint64_t RendezvousWeight(std::string_view role, std::string_view vm) {
+  const uint64_t role_hash = XXH3_64bits(role.data(), role.size());
+  return XXH3_64bits_withSeed(vm.data(), vm.size(), role_hash);
+}
+
 const wire::vm_record* fleet_view::Find(std::string_view name) const {
   const auto found =
       std::lower_bound(vms.begin(), vms.end(), name,
@@ -43,7 +43,8 @@
         vm.state != wire::vm_state::kSuspect) {
       continue;
     }
-    const std::pair rank(Nearness(vm, preference), Weight(role, vm.name));
+    const std::pair rank(Nearness(vm, preference),
+                         RendezvousWeight(role, vm.name));
     if (best == nullptr || rank > best_rank) {
       best = &vm;
       best_rank = rank;
--- a/src/hosting/forwarder.cc
+++ b/src/hosting/forwarder.cc
@@ -67,7 +67,7 @@
   return true;
 }
 
-bool forwarder::Close(time_point /*now*/, session_id session) {
+bool forwarder::Close(session_id session) {
   const bool known = sessions_.contains(session);
   EndSession(session);
   return known;
@@ -116,11 +116,10 @@
   return &found->second;
 }
 
-std::optional<std::string> forwarder::ChooseHost(time_point now,
-                                                 const session& of) {
+std::string forwarder::ChooseHost(time_point now, const session& of) {
   const interactive::route* const route = RouteOf(of);
   if (route == nullptr) {
-    return std::nullopt;
+    return self_;  // Its broker says that the route is gone.
   }
   std::erase_if(avoided_, [&](const auto& each) { return now >= each.second; });
   const auto hosts = plan_.HostsOf(route->group, of.organisation);
@@ -134,8 +133,7 @@
 }
 
 void forwarder::MoveIn(time_point now, session_id id, session& of) {
-  const auto host = ChooseHost(now, of);
-  of.host = host.value_or(self_);
+  of.host = ChooseHost(now, of);
   ++of.stay;
   of.last_sequence = 0;
   of.heard = now;
@@ -157,12 +155,28 @@
   }
   actions_.emplace_back(
       send_message{of.host, wire::hosted_close{IdOf(id, of)}});
+  ForgetHost(of);
+}
+
+void forwarder::ForgetHost(session& of) {
   of.host.clear();
   for (outstanding& each : of.waiting) {
     each.sequence = 0;
   }
 }
 
+// Whether nothing is kept of an open transaction: no commit was sent, or none
+// before the statement `not_run_from`.
+bool forwarder::IsUndone(const session& of, uint64_t not_run_from) {
+  return of.state == transaction_state::kOpen &&
+         std::none_of(of.waiting.begin(), of.waiting.end(),
+                      [&](const outstanding& each) {
+                        return each.statement.kind == statement_kind::kCommit &&
+                               each.sequence != 0 &&
+                               each.sequence < not_run_from;
+                      });
+}
+
 void forwarder::SendWaiting(time_point now, session_id id) {
   session& of = sessions_.at(id);
   while (!of.waiting.empty() && of.host.empty() &&
@@ -226,10 +240,7 @@
   };
   if (const auto* open = std::get_if<wire::hosted_open>(&message.body)) {
     if (session* const of = Find(open->id)) {
-      of->host.clear();
-      for (outstanding& each : of->waiting) {
-        each.sequence = 0;
-      }
+      ForgetHost(*of);
       again(*of);
     }
   } else if (const auto* sent =
@@ -346,16 +357,10 @@
       fmt::format("session {} leaves VM {}: {}; {} statements wait", id,
                   of.host, reason, of.waiting.size())});
   if (may_have_written) {
-    // A write within a transaction is undone unless its commit may have run.
-    const bool commits = std::any_of(
-        of.waiting.begin(), of.waiting.end(), [&](const outstanding& each) {
-          return each.statement.kind == statement_kind::kCommit &&
-                 each.sequence != 0 && each.sequence < not_run_from;
-        });
-    const bool undone = of.state == transaction_state::kOpen && !commits;
     return Fail(id,
-                undone ? result_code::kTransactionAborted
-                       : result_code::kUnknownConnectionLost,
+                IsUndone(of, not_run_from)
+                    ? result_code::kTransactionAborted
+                    : result_code::kUnknownConnectionLost,
                 std::string(reason));
   }
   Leave(id, of);
@@ -442,16 +447,10 @@
       (route == nullptr ? duration(seconds(1)) : route->statement_timeout) +
       options_.answer_margin;
   if (now - first.arrived > limit) {
-    const bool commits = std::any_of(
-        of.waiting.begin(), of.waiting.end(), [](const outstanding& each) {
-          return each.statement.kind == statement_kind::kCommit &&
-                 each.sequence != 0;
-        });
-    const bool undone = of.state == transaction_state::kOpen && !commits;
     result_code code = result_code::kUnknownTimeout;
     if (first.sequence == 0) {
       code = result_code::kDeadlineBeforeStart;
-    } else if (undone) {
+    } else if (IsUndone(of, kAll)) {
       code = result_code::kTransactionAborted;
     }
     return Fail(id, code, "its host did not answer in time");
--- a/src/hosting/host_plan.cc
+++ b/src/hosting/host_plan.cc
@@ -1,23 +1,12 @@
 // Which VMs host the sessions of a group.
-#include <xxhash.h>
-
 #include <algorithm>
-#include <tuple>
+#include <functional>
+#include <utility>
 
+#include "tarragondale/fleet.h"
 #include "tarragondale/hosting.h"
 
 namespace tarragondale::hosting {
-namespace {
-
-// VMs below this part of the largest VM's capacity host only where there are
-// too few larger ones.
-constexpr double kLeastCapacity = 0.5;
-
-uint64_t Hash(std::string_view text, uint64_t seed) {
-  return XXH3_64bits_withSeed(text.data(), text.size(), seed);
-}
-
-}  // namespace
 
 void host_plan::SetFleet(const std::vector<relay::vm>& vms) {
   capable_.clear();
@@ -32,23 +21,24 @@
     return;
   }
   std::set<std::string_view> regions;
-  std::vector<relay::vm> here;
-  int64_t largest = 0;
+  std::vector<const relay::vm*> here;
   for (const relay::vm& each : vms) {
     regions.insert(each.region);
     if (each.region == self->region) {
-      here.push_back(each);
-      largest = std::max(largest, each.capacity);
+      here.push_back(&each);
     }
   }
   member_users_ = static_cast<int>(regions.size() * kHosts);
-  std::copy_if(here.begin(), here.end(), std::back_inserter(capable_),
-               [&](const relay::vm& each) {
-                 return static_cast<double>(each.capacity) >=
-                        static_cast<double>(largest) * kLeastCapacity;
-               });
-  if (capable_.size() < kHosts + kSubstitutes) {
-    capable_ = std::move(here);
+  const int64_t largest = relay::LargestCapacity(here);
+  const auto is_capable = [&](const relay::vm* each) {
+    return relay::IsCapable(*each, largest);
+  };
+  const auto capable = std::count_if(here.begin(), here.end(), is_capable);
+  const bool enough = static_cast<size_t>(capable) >= kHosts + kSubstitutes;
+  for (const relay::vm* each : here) {
+    if (!enough || is_capable(each)) {
+      capable_.push_back(each->name);
+    }
   }
 }
 
@@ -56,10 +46,10 @@
 std::vector<std::string> host_plan::HostsOf(
     std::string_view group,
     std::string_view organisation) const {
-  const uint64_t role = Hash(group, 0);
   std::vector<std::pair<uint64_t, std::string_view>> ranked;
-  for (const relay::vm& each : capable_) {
-    ranked.emplace_back(Hash(each.name, role), each.name);
+  ranked.reserve(capable_.size());
+  for (const std::string& name : capable_) {
+    ranked.emplace_back(fleet::RendezvousWeight(group, name), name);
   }
   const size_t wanted = std::min(ranked.size(), kHosts + kSubstitutes);
   std::partial_sort(ranked.begin(),
@@ -69,7 +59,7 @@
   for (size_t i = 0; i < wanted; ++i) {
     hosts.emplace_back(ranked[i].second);
   }
-  const size_t first = Hash(organisation, role) % kHosts;
+  const size_t first = fleet::RendezvousWeight(group, organisation) % kHosts;
   if (first < hosts.size()) {
     std::rotate(
         hosts.begin(), hosts.begin() + static_cast<std::ptrdiff_t>(first),
--- a/src/leadership/keeper.cc
+++ b/src/leadership/keeper.cc
@@ -30,8 +30,13 @@
   return implementation_->Groups();
 }
 
-vouched keeper::Vouched(time_point now, bool relayed) const {
-  return implementation_->Vouched(now, relayed);
+vouched keeper::Vouched(time_point now) const {
+  return implementation_->Vouched(now);
+}
+
+std::vector<wire::stop_notice> keeper::Stops(time_point now,
+                                             bool relayed) const {
+  return implementation_->Stops(now, relayed);
 }
 
 std::optional<time_point> keeper::confirmed_at() const {
--- a/src/leadership/keeper_coverage.cc
+++ b/src/leadership/keeper_coverage.cc
@@ -45,36 +45,34 @@
   return groups;
 }
 
-vouched keeper::implementation::Vouched(time_point now, bool relayed) const {
+vouched keeper::implementation::Vouched(time_point now) const {
   vouched told;
-  for (const auto& [name, each] : peers_) {
-    if (each.digest.follows) {
-      AddStops(name, each, told.stops);
-    }
-    if (relayed && now - each.heard < kNoticeLifetime) {
-      told.stops.insert(told.stops.end(), each.digest.stops.begin(),
-                        each.digest.stops.end());
-    }
-  }
   if (const auto silence = DutySilence(now)) {
     told.duty_age_ms = ToMs(*silence) + 1;
   }
-  const auto by_zone = VmsByZone();
-  const auto covers = CoversOfAllZones();
-  if (!covers) {
-    return told;
+  for (const auto& [zone, cover] : CoversOfAllZones().value_or(zone_covers())) {
+    told.coverage.push_back({zone,
+                             cover.vms_hash,
+                             ToMs(now - cover.since) + 1,
+                             {cover.except.begin(), cover.except.end()}});
   }
-  for (const auto& [zone, names] : by_zone) {
-    const auto cover = covers->find(zone);
-    if (cover != covers->end()) {
-      told.coverage.push_back(
-          {zone,
-           HashOfVms(names),
-           ToMs(now - cover->second.since) + 1,
-           {cover->second.except.begin(), cover->second.except.end()}});
+  return told;
+}
+
+std::vector<wire::stop_notice> keeper::implementation::Stops(
+    time_point now,
+    bool relayed) const {
+  std::vector<wire::stop_notice> stops;
+  for (const auto& [name, each] : peers_) {
+    if (each.digest.follows) {
+      AddStops(name, each, stops);
+    }
+    if (relayed && now - each.heard < kNoticeLifetime) {
+      stops.insert(stops.end(), each.digest.stops.begin(),
+                   each.digest.stops.end());
     }
   }
-  return told;
+  return stops;
 }
 
 // Only of groups whose primary is being replaced; all else is not asked for.
@@ -171,7 +169,8 @@
       best = std::move(cover);
     }
   };
-  zone_cover direct{now_, {}};
+  const uint64_t hash = HashOfVms(names);
+  zone_cover direct{now_, {}, hash};
   const bool all_heard =
       std::all_of(names.begin(), names.end(), [&](std::string_view name) {
         const auto since = AddDirect(std::string(name), direct.except);
@@ -181,7 +180,6 @@
   if (all_heard) {
     offer(std::move(direct));
   }
-  const uint64_t hash = HashOfVms(names);
   for (const auto& [name, each] : peers_) {
     const auto& coverage = each.digest.coverage;
     const auto told =
@@ -192,7 +190,8 @@
       continue;
     }
     zone_cover relayed{*each.made_after - milliseconds(told->age_ms),
-                       {told->except.begin(), told->except.end()}};
+                       {told->except.begin(), told->except.end()},
+                       hash};
     relayed.except.insert(each.differs.begin(), each.differs.end());
     offer(std::move(relayed));
   }
--- a/src/leadership/keeper_implementation.h
+++ b/src/leadership/keeper_implementation.h
@@ -28,7 +28,8 @@
   std::vector<action> Step(time_point now, const event& input);
   time_point NextDeadline() const { return next_tick_; }
   std::map<std::string, group_state, std::less<>> Groups() const;
-  vouched Vouched(time_point now, bool relayed) const;
+  vouched Vouched(time_point now) const;
+  std::vector<wire::stop_notice> Stops(time_point now, bool relayed) const;
   std::optional<time_point> confirmed_at() const { return confirmed_at_; }
   bool NeedsDigests(time_point now) const {
     return confirmed_at_ &&
@@ -89,6 +90,7 @@
   struct zone_cover {
     time_point since;
     std::set<std::string, std::less<>> except;
+    uint64_t vms_hash = 0;  ///< Of the names of the zone's VMs.
   };
 
   using zone_covers = std::map<std::string, zone_cover, std::less<>>;
--- a/src/leadership/keeper_simulation.h
+++ b/src/leadership/keeper_simulation.h
@@ -394,8 +394,8 @@
     }
     digest.watching = Relays(from);
     digest.follows = Follows(from, to);
-    vouched told = from.mind->Vouched(now_, !Relays(to));
-    digest.stops = std::move(told.stops);
+    vouched told = from.mind->Vouched(now_);
+    digest.stops = from.mind->Stops(now_, !Relays(to));
     digest.coverage = std::move(told.coverage);
     digest.duty_age_ms = told.duty_age_ms;
     vm::heard& known = from.peers[to.name];
--- a/src/relay/relay_plan.cc
+++ b/src/relay/relay_plan.cc
@@ -1,24 +1,15 @@
 // Which VMs relay, and which relay a VM follows.
-#include <xxhash.h>
-
 #include <algorithm>
 #include <tuple>
 
+#include "tarragondale/fleet.h"
 #include "tarragondale/relay.h"
 
 namespace tarragondale::relay {
-namespace {
 
-// Uniform in (0, 1], the same on every VM.
-double HashPart(std::string_view role, std::string_view vm) {
-  const uint64_t role_hash = XXH3_64bits(role.data(), role.size());
-  const uint64_t hash = XXH3_64bits_withSeed(vm.data(), vm.size(), role_hash);
-  return (static_cast<double>(hash >> 11U) + 1) / 9007199254740992.0;
-}
+using fleet::RendezvousWeight;
 
-// VMs below this part of the largest VM's capacity relay only where the larger
-// ones are too few: followers come on top of a VM's own callers.
-constexpr double kLeastCapacity = 0.5;
+namespace {
 
 size_t RelaysFor(size_t zone_size) {
   return std::max(
@@ -28,6 +19,19 @@
 
 }  // namespace
 
+int64_t LargestCapacity(const std::vector<const vm*>& vms) {
+  int64_t largest = 0;
+  for (const vm* each : vms) {
+    largest = std::max(largest, each->capacity);
+  }
+  return largest;
+}
+
+bool IsCapable(const vm& of, int64_t largest) {
+  // Half of the largest VM's.
+  return of.capacity * 2 >= largest;
+}
+
 void relay_plan::SetFleet(const std::vector<vm>& vms) {
   std::map<std::string, std::vector<const vm*>> zones;
   const vm* self = nullptr;
@@ -42,22 +46,18 @@
   std::vector<const vm*> relays;
   for (auto& [zone, members] : zones) {
     // Rendezvous hashing (Thaler and Ravishankar, 1998) among the capable.
-    int64_t largest = 0;
-    for (const vm* each : members) {
-      largest = std::max(largest, each->capacity);
-    }
-    const auto rank = [&, role = "relay/" + zone](const vm* of) {
-      const bool capable = static_cast<double>(of->capacity) >=
-                           static_cast<double>(largest) * kLeastCapacity;
-      return std::tuple(!capable, -HashPart(role, of->name), of->name);
+    const auto rank = [role = "relay/" + zone,
+                       largest = LargestCapacity(members)](const vm* of) {
+      return std::tuple(IsCapable(*of, largest),
+                        RendezvousWeight(role, of->name), of->name);
     };
     std::sort(members.begin(), members.end(),
-              [&](const vm* a, const vm* b) { return rank(a) < rank(b); });
+              [&](const vm* a, const vm* b) { return rank(a) > rank(b); });
     const size_t count =
         mesh ? members.size()
              : std::min(members.size(), RelaysFor(members.size()));
     for (size_t i = 0; i < count; ++i) {
-      relays_[members[i]->name] = i;
+      relays_.insert(members[i]->name);
       relays.push_back(members[i]);
     }
   }
@@ -73,13 +73,13 @@
   };
   // The hash with the own name spreads the followers of a zone over its relays.
   std::sort(relays.begin(), relays.end(), [&](const vm* a, const vm* b) {
-    return std::tuple(farness(*a), -HashPart(self_, a->name), a->name) <
-           std::tuple(farness(*b), -HashPart(self_, b->name), b->name);
+    return std::tuple(farness(*a), RendezvousWeight(self_, b->name), a->name) <
+           std::tuple(farness(*b), RendezvousWeight(self_, a->name), b->name);
   });
   rank_ = static_cast<int>(
       std::count_if(relays.begin(), relays.end(), [&](const vm* each) {
-        return std::tuple(HashPart("rank", each->name), each->name) <
-               std::tuple(HashPart("rank", self_), self_);
+        return std::tuple(RendezvousWeight("rank", each->name), each->name) <
+               std::tuple(RendezvousWeight("rank", self_), self_);
       }));
   preferred_.clear();
   for (const vm* each : relays) {
--- a/src/relay/relay_test.cc
+++ b/src/relay/relay_test.cc
@@ -120,7 +120,7 @@
   const relay_choice choice;
   EXPECT_FALSE(choice.Choose(now, preferred, seen));
   for (const std::string& name : preferred) {
-    seen[name] = {name, true, true, now};
+    seen[name] = {true, true, now};
   }
   EXPECT_EQ(choice.Choose(now, preferred, seen), "a");
   const time_point later = now + milliseconds(900);
@@ -132,15 +132,15 @@
 TEST(RelayChoiceTest, OnlyAVmThatWatchesTheStoreIsFollowed) {
   const time_point now = TimeFromMs(10'000);
   std::map<std::string, relay_sight, std::less<>> seen;
-  seen["a"] = {"a", false, true, now};
+  seen["a"] = {false, true, now};
   EXPECT_FALSE(relay_choice().Choose(now, {"a"}, seen));
 }
 
 TEST(RelayChoiceTest, RelayThatTheStoreTurnsAwayGivesWay) {
   const time_point now = TimeFromMs(10'000);
   std::map<std::string, relay_sight, std::less<>> seen;
-  seen["a"] = {"a", true, false, now};
-  seen["b"] = {"b", true, true, now};
+  seen["a"] = {true, false, now};
+  seen["b"] = {true, true, now};
   EXPECT_EQ(relay_choice().Choose(now, {"a", "b"}, seen), "b");
   seen["b"].reaches_store = false;
   EXPECT_EQ(relay_choice().Choose(now, {"a", "b"}, seen), "a");
--- a/src/runtime/line/fleet_duty.cc
+++ b/src/runtime/line/fleet_duty.cc
@@ -301,7 +301,7 @@
     // It follows this VM, or may: what it is told is as old as its own digest.
     SendDigest(exchange_.TargetOf(vm, now), now, BuildDigest(now));
   }
-  const size_t stops = keeper_.Vouched(now, false).stops.size();
+  const size_t stops = keeper_.Stops(now, false).size();
   if (stops > known_stops_) {
     next_digest_ = std::min(next_digest_, now + kNoticeDelay);
   }
@@ -334,12 +334,9 @@
   if (to.address.empty()) {
     return;
   }
-  exchange_.Stamp(to, now, OwnUsage(now), digest);
-  const bool relayed = to.to == fleet_exchange::relation::kFollower;
-  leadership::vouched told = keeper_.Vouched(now, relayed);
-  digest.stops = std::move(told.stops);
-  digest.coverage = std::move(told.coverage);
-  digest.duty_age_ms = told.duty_age_ms;
+  exchange_.Stamp(to, now, digest);
+  digest.stops =
+      keeper_.Stops(now, to.to == fleet_exchange::relation::kFollower);
   transport_.Send(to.vm, to.address, std::move(digest));
 }
 
@@ -354,7 +351,14 @@
   if (const auto confirmed = keeper_.confirmed_at()) {
     digest.confirmed_age_ms = AgeMs(now, *confirmed);
   }
+  leadership::vouched told = keeper_.Vouched(now);
+  digest.coverage = std::move(told.coverage);
+  digest.duty_age_ms = told.duty_age_ms;
   AddPrimaries(now, digest);
+  for (const auto& [name, each] : broker_.Usage(now)) {
+    digest.usage.push_back(
+        {name, each.admitted, static_cast<int64_t>(each.demand_per_s)});
+  }
   return digest;
 }
 
@@ -389,14 +393,4 @@
   }
 }
 
-std::vector<wire::organisation_usage> fleet_duty::OwnUsage(
-    time_point now) const {
-  std::vector<wire::organisation_usage> usage;
-  for (const auto& [name, each] : broker_.Usage(now)) {
-    usage.push_back(
-        {name, each.admitted, static_cast<int64_t>(each.demand_per_s)});
-  }
-  return usage;
-}
-
 }  // namespace tarragondale::runtime
--- a/src/runtime/line/fleet_duty.h
+++ b/src/runtime/line/fleet_duty.h
@@ -92,7 +92,6 @@
                   wire::fleet_digest digest);
   wire::fleet_digest BuildDigest(time_point now) const;
   void AddPrimaries(time_point now, wire::fleet_digest& digest) const;
-  std::vector<wire::organisation_usage> OwnUsage(time_point now) const;
 
   boost::asio::io_context& context_;
   const std::string self_;
--- a/src/runtime/line/fleet_exchange.cc
+++ b/src/runtime/line/fleet_exchange.cc
@@ -30,14 +30,22 @@
 
 }  // namespace
 
+std::vector<relay::vm> PlannedVms(
+    const std::vector<leadership::vm_registration>& vms) {
+  std::vector<relay::vm> planned;
+  planned.reserve(vms.size());
+  for (const leadership::vm_registration& vm : vms) {
+    planned.push_back({vm.name, vm.availability_zone, vm.region, vm.capacity});
+  }
+  return planned;
+}
+
 void fleet_exchange::SetFleet(
     const std::vector<leadership::vm_registration>& vms) {
   for (auto& [name, each] : peers_) {
     each.registered = false;
   }
-  std::vector<relay::vm> fleet;
   for (const leadership::vm_registration& vm : vms) {
-    fleet.push_back({vm.name, vm.availability_zone, vm.region, vm.capacity});
     if (vm.name == self_) {
       continue;
     }
@@ -45,7 +53,7 @@
     known.registered = true;
     known.address = vm.peer_address;
   }
-  plan_.SetFleet(fleet);
+  plan_.SetFleet(PlannedVms(vms));
 }
 
 bool fleet_exchange::ChooseHome(time_point now) {
@@ -124,8 +132,8 @@
 
 void fleet_exchange::Stamp(const target& to,
                            time_point now,
-                           const std::vector<wire::organisation_usage>& own,
                            wire::fleet_digest& digest) {
+  const auto own = std::exchange(digest.usage, {});
   const auto found = peers_.find(to.vm);
   if (found == peers_.end()) {
     return;  // A seed, whose name is not known yet.
@@ -192,8 +200,7 @@
   if (!from.registered) {
     from.address = digest.peer_address;
   }
-  sights_[vm] = {vm, digest.watching && !digest.leaving, digest.reaches_store,
-                 now};
+  sights_[vm] = {digest.watching && !digest.leaving, digest.reaches_store, now};
   const auto echoed =
       std::find_if(from.sent.begin(), from.sent.end(),
                    [&](const auto& each) { return each.first == digest.echo; });
--- a/src/runtime/line/fleet_exchange.h
+++ b/src/runtime/line/fleet_exchange.h
@@ -15,6 +15,10 @@
 
 namespace tarragondale::runtime {
 
+/// @brief Registered VMs as plans of duties see them.
+std::vector<relay::vm> PlannedVms(
+    const std::vector<leadership::vm_registration>& vms);
+
 /// @brief Knows the other VMs, which of them relay, and the digests sent to and
 /// received from each. No I/O.
 class fleet_exchange {
@@ -57,11 +61,8 @@
   std::vector<std::string> Followers(time_point now) const;
 
   /// @brief Fills in the sequence, the echo and the usage of a digest.
-  /// @param own What this VM admitted itself.
-  void Stamp(const target& to,
-             time_point now,
-             const std::vector<wire::organisation_usage>& own,
-             wire::fleet_digest& digest);
+  /// @param digest With the usage of this VM alone.
+  void Stamp(const target& to, time_point now, wire::fleet_digest& digest);
 
   struct received {
     /// When this VM sent the digest that the sender had received.
--- a/src/runtime/line/fleet_exchange_test.cc
+++ b/src/runtime/line/fleet_exchange_test.cc
@@ -36,9 +36,9 @@
   const time_point sent = TimeFromMs(1'000);
   const auto to = exchange.TargetOf("vm-2", sent);
   wire::fleet_digest first;
-  exchange.Stamp(to, sent, {}, first);
+  exchange.Stamp(to, sent, first);
   wire::fleet_digest second;
-  exchange.Stamp(to, TimeFromMs(1'500), {}, second);
+  exchange.Stamp(to, TimeFromMs(1'500), second);
   const auto taken =
       exchange.Take("vm-2", Digest(1, 5, 0, first.sequence), TimeFromMs(1'600));
   ASSERT_TRUE(taken);
--- a/src/runtime/line/hosting_duty.cc
+++ b/src/runtime/line/hosting_duty.cc
@@ -2,6 +2,7 @@
 #include "src/runtime/line/hosting_duty.h"
 
 #include "src/runtime/line/boot_clock.h"
+#include "src/runtime/line/fleet_exchange.h"
 #include "src/runtime/line/log_output.h"
 
 namespace tarragondale::runtime {
@@ -24,7 +25,7 @@
     taken = forwarder_.Send(now, *sent);
   } else if (const auto* closed =
                  std::get_if<interactive::caller_closed>(&event)) {
-    taken = forwarder_.Close(now, closed->session);
+    taken = forwarder_.Close(closed->session);
   }
   if (!taken) {
     return handlers_.broker(std::move(event));
@@ -52,12 +53,7 @@
 
 void hosting_duty::SetFleet(
     const std::vector<leadership::vm_registration>& vms) {
-  std::vector<relay::vm> fleet;
-  fleet.reserve(vms.size());
-  for (const leadership::vm_registration& vm : vms) {
-    fleet.push_back({vm.name, vm.availability_zone, vm.region, vm.capacity});
-  }
-  forwarder_.SetFleet(fleet);
+  forwarder_.SetFleet(PlannedVms(vms));
 }
 
 void hosting_duty::StartDrain(time_point now) {
