Keep a VM that is cut off from replacing primaries

Ruled out: a wait for a longer failure, since a partition lasts for any time, and a majority of all VMs, since regions lose each other.

A primary is suspected only by a VM that hears at least half of the relays in the member's region that it heard in the last minute. One that can't tell gives the duty up after 0.5 s, and claims it 3 s later than others, so that a VM near the member judges. The reasons to change a primary are in a file of their own.

While three regions are cut off from each other, a failed primary is replaced within 9 s (FailedPrimaryIsReplacedWhileRegionsAreCut). The simulation's digests say that members answer, as those of daemons do.

--- a/include/tarragondale/leadership.h
+++ b/include/tarragondale/leadership.h
@@ -256,6 +256,11 @@
   /// longer than others need to know of it before one that is not.
   duration follower_claim_delay = milliseconds(700);
   duration young_claim_delay = milliseconds(300);
+  /// A VM that hears too few others to tell whether a primary is lost gives the
+  /// duty up after `unjudged_limit`, and claims it later than others by
+  /// `unjudged_claim_delay`.
+  duration unjudged_limit = milliseconds(500);
+  duration unjudged_claim_delay = milliseconds(3'000);
   /// Digests older than this say nothing on a member's health.
   duration report_lifetime = milliseconds(1'500);
   /// How long the directory must name another primary than the record: entries
--- a/src/leadership/keeper.cc
+++ b/src/leadership/keeper.cc
@@ -295,9 +295,7 @@
 void keeper::implementation::On(const drain_started& /*event*/) {
   draining_ = true;
   if (holding_ && handovers_.empty()) {
-    holding_ = false;
-    Call(call_kind::kEndDuty, store::keyspace::revoke_call{duty_lease_.lease});
-    duty_lease_ = {};
+    EndDuty();
   }
 }
 
@@ -314,9 +312,7 @@
   PublishRights();
   actions_.push_back(send_digests{});
   if (duty_lease_.lease != 0) {
-    Call(call_kind::kEndDuty, store::keyspace::revoke_call{duty_lease_.lease});
-    duty_lease_ = {};
-    holding_ = false;
+    EndDuty();
   }
   if (registration_.lease != 0) {
     Call(call_kind::kEndRegistration,
@@ -344,6 +340,7 @@
   PublishRights();
   if (HoldsDuty()) {
     WatchPrimaries();
+    LeaveDutyToOthers();
   }
   ContinueHandovers();
   ContinueDemotions();
--- a/src/leadership/keeper_implementation.h
+++ b/src/leadership/keeper_implementation.h
@@ -120,6 +120,12 @@
     bool confirmed = false;  ///< The member said so itself.
   };
 
+  // VMs that know anything of a member.
+  struct opinions {
+    int64_t failing = 0;
+    int64_t reaching = 0;
+  };
+
   // One change of primary by this VM. Invariant: from `stopping` on, the
   // group's record is moving with the epoch `epoch`.
   struct handover {
@@ -193,6 +199,7 @@
   void OnConfirmed(const store_answered& event);
   void SeeDuty(const std::optional<duty_record>& record);
   void DelayClaim();
+  void EndDuty();
   bool HoldsDuty() const;
   void PublishFleet();
 
@@ -226,6 +233,21 @@
                 std::vector<wire::stop_notice>& to) const;
   std::optional<duration> DutySilence(time_point now) const;
 
+  // --- Reasons to change a primary (keeper_suspicion.cc) ---
+  std::optional<std::string> ReasonToMove(const std::string& group,
+                                          const primary_record& record,
+                                          bool& planned);
+  bool IsSuperseded(const std::string& group, const std::string& member);
+  opinions OpinionsOf(const std::string& group,
+                      const std::string& member) const;
+  bool IsSuspected(const opinions& told) const {
+    return told.failing > told.reaching;
+  }
+  bool IsOutOfTouch(const std::string& member) const;
+  std::optional<std::string_view> RegionOf(const std::string& member) const;
+  std::optional<std::string> UnjudgedPrimary() const;
+  void LeaveDutyToOthers();
+
   // --- Changes of primary (keeper_handover.cc) ---
   void WatchPrimaries();
   void CreateRecord(const std::string& group);
@@ -233,11 +255,6 @@
                    const std::string& group,
                    int64_t epoch,
                    primary_record record);
-  std::optional<std::string> ReasonToMove(const std::string& group,
-                                          const primary_record& record,
-                                          bool& planned);
-  bool IsSuperseded(const std::string& group, const std::string& member);
-  bool IsSuspected(const std::string& group, const std::string& member) const;
   void StartHandover(const std::string& group,
                      const primary_record& record,
                      bool planned,
@@ -306,6 +323,7 @@
   std::optional<duty_record> duty_;
   bool holding_ = false;
   time_point next_claim_;
+  std::optional<time_point> unjudged_since_;  ///< See `LeaveDutyToOthers`.
   bool draining_ = false;
   bool leaving_ = false;
 
--- a/src/leadership/keeper_leases.cc
+++ b/src/leadership/keeper_leases.cc
@@ -198,6 +198,12 @@
   }
 }
 
+void keeper::implementation::EndDuty() {
+  Call(call_kind::kEndDuty, store::keyspace::revoke_call{duty_lease_.lease});
+  duty_lease_ = {};
+  holding_ = false;
+}
+
 // VMs that others know, and hear without a hop, change primaries sooner.
 void keeper::implementation::DelayClaim() {
   const int64_t spread =
@@ -211,6 +217,9 @@
   if (now_ - registered_at_ < options_.registration_lifetime) {
     next_claim_ += options_.young_claim_delay;
   }
+  if (UnjudgedPrimary()) {
+    next_claim_ += options_.unjudged_claim_delay;
+  }
 }
 
 // --- Confirmation ---
--- a/src/leadership/keeper_simulation.h
+++ b/src/leadership/keeper_simulation.h
@@ -28,9 +28,12 @@
     std::unique_ptr<keeper> mind;
     bool alive = true;
     time_point frozen_until;
-    bool store_cut = false;   ///< It does not reach the store.
-    bool peers_cut = false;   ///< It reaches no other VM.
-    bool deaf_watch = false;  ///< The watch delivers nothing.
+    bool store_cut = false;    ///< It does not reach the store.
+    bool peers_cut = false;    ///< It reaches no other VM.
+    bool deaf_watch = false;   ///< The watch delivers nothing.
+    bool members_cut = false;  ///< It reaches no member.
+    time_point members_cut_at;
+    std::string region = "r";
     int64_t incarnation = 0;
     std::map<std::string, interactive::primary_right, std::less<>> rights;
     size_t open_work = 0;  ///< Statements on the primary.
@@ -51,7 +54,11 @@
     interactive::member_status status;
   };
 
-  explicit keeper_simulation(uint64_t seed, int vms = 5, int relaying = 0)
+  /// @param regions The members are in the first one.
+  explicit keeper_simulation(uint64_t seed,
+                             int vms = 5,
+                             int relaying = 0,
+                             int regions = 1)
       : relays(relaying), random_(seed) {
     store_.announce = [this](const item& changed, bool removed) {
       Announce(changed, removed);
@@ -63,6 +70,7 @@
     for (int i = 0; i < vms; ++i) {
       vms_.push_back(std::make_unique<vm>());
       vms_.back()->name = "vm-" + std::to_string(i);
+      vms_.back()->region += std::to_string(i % regions);
       Start(*vms_.back());
     }
   }
@@ -76,6 +84,7 @@
   int relays = 0;
   /// Followers that turn to another relay: they talk to the next one.
   int turned = 0;
+  bool regions_cut = false;      ///< VMs reach no VM of another region.
   int synchronous_replicas = 0;  ///< Of VMs that start from now on.
   double lost_answers = 0;       ///< Part of the store's answers.
   double late_writes = 0;        ///< Part of lost calls that run seconds later.
@@ -89,7 +98,7 @@
   void Start(vm& of) {
     options chosen;
     // A new process's clock may be behind that of the former one.
-    chosen.self = {of.name, "127.0.0.1:1", ZoneOf(of), "r",
+    chosen.self = {of.name, "127.0.0.1:1", ZoneOf(of), of.region,
                    ++last_incarnation_};
     chosen.seed = random_();
     of.alive = true;
@@ -99,10 +108,12 @@
     vm* const self = &of;
     of.mind = std::make_unique<keeper>(
         chosen,
-        broker_view{
-            .primary_work = [self](std::string_view,
-                                   int64_t) { return self->open_work; },
-            .health = [this](std::string_view id) { return HealthOf(id); }});
+        broker_view{.primary_work = [self](std::string_view,
+                                           int64_t) { return self->open_work; },
+                    .health =
+                        [this, self](std::string_view id) {
+                          return HealthOf(*self, id);
+                        }});
     of.incarnation = chosen.self.incarnation;
     Step(of, relay_changed{Relays(of), std::max(0, IndexOf(of))});
     PublishMembers(of);
@@ -118,6 +129,12 @@
     of.rights.clear();
   }
 
+  /// @brief The VM reaches the store alone.
+  void Isolate(vm& of) {
+    of.peers_cut = true;
+    of.members_cut = true;
+    of.members_cut_at = now_;
+  }
   void KillMember(const std::string& id) {
     members_.at(id).alive = false;
     failing_since_[id] = now_;
@@ -344,7 +361,7 @@
   // Relays are in pairs, a pair for each zone.
   std::string ZoneOf(const vm& of) const {
     return relays == 0
-               ? "z"
+               ? (of.region == "r0" ? "z" : "z-" + of.region)
                : "z" + std::to_string((IndexOf(of) % relays) / kZoneRelays);
   }
   bool Asks(const vm& from, const vm& to) const {
@@ -378,6 +395,7 @@
       digest.confirmed_age_ms = ToMs(now_ - *confirmed) + 1;
     }
     for (const auto& [group, state] : from.mind->Groups()) {
+      const int64_t failing_ms = FailingMs(from, state.record.member);
       digest.primaries.push_back({group,
                                   state.record.member,
                                   state.record.term,
@@ -387,8 +405,8 @@
                                   state.stopped_epoch,
                                   {},
                                   -1,
-                                  -1,
-                                  FailingMs(state.record.member),
+                                  failing_ms < 0 ? 0 : -1,
+                                  failing_ms,
                                   state.followers_reaching,
                                   state.followers_failing});
     }
@@ -402,7 +420,8 @@
     digest.sequence = ++known.last_sent;
     digest.echo = known.last_received;
     known.sent[digest.sequence] = now_;
-    if (from.peers_cut || to.peers_cut || Chance(0.02)) {
+    if (from.peers_cut || to.peers_cut ||
+        (regions_cut && from.region != to.region) || Chance(0.02)) {
       return;
     }
     const duration delay = milliseconds(5 + static_cast<int64_t>(Pick(12)));
@@ -463,21 +482,30 @@
     Step(to, members_changed{directory});
   }
 
-  interactive::member_health HealthOf(std::string_view id) const {
-    interactive::member_health health;
+  // When the VM's connections to the member began to fail.
+  std::optional<time_point> FailingSince(const vm& of,
+                                         std::string_view id) const {
     const auto failing = failing_since_.find(std::string(id));
-    if (failing == failing_since_.end()) {
-      health.last_answer = now_;
-    } else {
-      health.failing_since = failing->second;
+    if (failing != failing_since_.end()) {
+      return failing->second;
+    }
+    return of.members_cut ? std::optional(of.members_cut_at) : std::nullopt;
+  }
+
+  interactive::member_health HealthOf(const vm& of, std::string_view id) const {
+    interactive::member_health health;
+    if (const auto failing = FailingSince(of, id)) {
+      health.failing_since = failing;
       health.failures = 3;
+    } else {
+      health.last_answer = now_;
     }
     return health;
   }
 
-  int64_t FailingMs(const std::string& id) const {
-    const auto failing = failing_since_.find(id);
-    return failing == failing_since_.end() ? -1 : ToMs(now_ - failing->second);
+  int64_t FailingMs(const vm& of, const std::string& id) const {
+    const auto failing = FailingSince(of, id);
+    return failing ? ToMs(now_ - *failing) : -1;
   }
 
   // --- Invariant ---
--- a/src/leadership/keeper_test.cc
+++ b/src/leadership/keeper_test.cc
@@ -88,6 +88,59 @@
   EXPECT_EQ(test.promotions(), 1);
 }
 
+// Guards against a change of primary by a VM that is cut off itself: of a
+// primary that all others reach.
+TEST(KeeperTest, VmThatHearsNobodyReplacesNoPrimary) {
+  for (uint64_t seed = 1; seed <= 10; ++seed) {
+    keeper_simulation test(seed);
+    test.Run(seconds(20));
+    keeper_simulation::vm& alone = *test.vms()[0];
+    test.Isolate(alone);
+    for (const auto& each : test.vms()) {
+      each->store_cut = each->name != alone.name;
+    }
+    test.Run(seconds(6));
+    for (const auto& each : test.vms()) {
+      each->store_cut = false;
+    }
+    alone.peers_cut = false;
+    alone.members_cut = false;
+    test.Run(seconds(4));
+    EXPECT_EQ(test.promotions(), 0) << seed;
+    EXPECT_TRUE(test.AllServe()) << seed;
+  }
+}
+
+// The same where all reach the store, however long it lasts.
+TEST(KeeperTest, VmThatHearsNobodyLeavesTheDutyToOthers) {
+  for (uint64_t seed = 1; seed <= 10; ++seed) {
+    keeper_simulation test(seed);
+    test.Run(seconds(20));
+    test.Isolate(*test.vms()[seed % 5]);
+    test.Run(seconds(60));
+    EXPECT_EQ(test.promotions(), 0) << seed;
+    test.KillMember("a");
+    test.Run(seconds(9));
+    EXPECT_EQ(test.promotions(), 1) << seed;
+  }
+}
+
+// Guards against a primary that stays lost while regions don't reach each
+// other, because the VM with the duty is in another region.
+TEST(KeeperTest, FailedPrimaryIsReplacedWhileRegionsAreCut) {
+  for (uint64_t seed = 1; seed <= 10; ++seed) {
+    keeper_simulation test(seed, 6, 0, 3);
+    test.Run(seconds(20));
+    test.regions_cut = true;
+    test.Run(seconds(60));
+    EXPECT_EQ(test.promotions(), 0) << seed;
+    test.KillMember("a");
+    test.Run(seconds(9));
+    EXPECT_EQ(test.promotions(), 1) << seed;
+    EXPECT_TRUE(test.violations().empty()) << seed;
+  }
+}
+
 // Drives one keeper by hand.
 struct single_keeper {
   explicit single_keeper(bool primary_fails = false) {
