--- a/src/interactive/broker_implementation.h
+++ b/src/interactive/broker_implementation.h
@@ -122,7 +122,7 @@
              const awaited_answer& awaited,
              member_answer answer);
   void OnRunError(session& of, link& on, const member_answer& answer);
-  bool RetryLater(session& of, std::string reason);
+  bool RetryLater(session& of, std::string reason, duration pause);
   void AddPosition(const std::string& group,
                    const observed_position& observation);
   void Observe(const link& on,
--- a/src/interactive/broker_links.cc
+++ b/src/interactive/broker_links.cc
@@ -178,6 +178,7 @@
     // The answer may come from a primary that was replaced meanwhile.
     return LoseLink(on.id, "the right to use the primary ended");
   }
+  pool_.Find(on.member)->limit.OnDone(now_);
   ++(by_primary ? metrics_.done_by_primary : metrics_.done_by_replica);
   if (of.current->writes && answer.position &&
       (!of.open || awaited.what == step::kCommit)) {
@@ -210,7 +211,10 @@
                                    MemberCodeName(answer.code));
   switch (answer.code) {
     case member_code::kBusy:
-      if (RetryLater(of, failed.last_reason)) {
+      // Waits for the member's limit instead of using its attempts up.
+      by->limit.OnBusy(pool_.Running(*by), now_);
+      failed.attempts = std::max(0, failed.attempts - 1);
+      if (RetryLater(of, failed.last_reason, options_.busy_backoff)) {
         return;
       }
       break;
@@ -219,20 +223,22 @@
       by->lagging_at = now_;
       if (!in_transaction) {
         failed.excluded.push_back(by->record.id);
-        if (RetryLater(of, failed.last_reason)) {
+        if (RetryLater(of, failed.last_reason, duration(0))) {
           return;
         }
       }
       break;
     case member_code::kReadOnly:
       // The primary changed; the new one becomes known from the store.
-      if (!in_transaction && RetryLater(of, failed.last_reason)) {
+      if (!in_transaction &&
+          RetryLater(of, failed.last_reason, options_.busy_backoff)) {
         return;
       }
       break;
     case member_code::kUnknownStatement:
       on.prepared.clear();
-      if (!in_transaction && RetryLater(of, failed.last_reason)) {
+      if (!in_transaction &&
+          RetryLater(of, failed.last_reason, options_.busy_backoff)) {
         return;
       }
       break;
@@ -240,7 +246,7 @@
     case member_code::kTimeout:
       if (!in_transaction && !failed.writes) {
         failed.excluded.push_back(by->record.id);
-        if (RetryLater(of, failed.last_reason)) {
+        if (RetryLater(of, failed.last_reason, duration(0))) {
           return;
         }
       }
@@ -256,7 +262,8 @@
 
 // Only for statements that have not run, or that only read.
 bool session_broker::implementation::RetryLater(session& of,
-                                                std::string reason) {
+                                                std::string reason,
+                                                duration pause) {
   work& again = *of.current;
   if (again.attempts >= options_.max_attempts || now_ >= again.deadline) {
     return false;
@@ -264,8 +271,7 @@
   ++metrics_.retries;
   again.link = 0;
   again.last_reason = std::move(reason);
-  const bool lagging_only = !again.excluded.empty();
-  again.not_before = lagging_only ? now_ : now_ + options_.busy_backoff;
+  again.not_before = now_ + pause;
   Enqueue(of);
   dispatch_needed_ = true;
   return true;
@@ -365,7 +371,7 @@
   of.current->link = 0;
   if (!of.current->writes || of.open) {
     of.current->excluded.push_back(on.member);
-    if (RetryLater(of, reason)) {
+    if (RetryLater(of, reason, options_.busy_backoff)) {
       return;
     }
     return FinishWork(of, result_code::kDatabaseUnavailable, reason);
--- a/src/interactive/member_pool.cc
+++ b/src/interactive/member_pool.cc
@@ -36,6 +36,7 @@
     if (replaced) {
       outdated.insert(outdated.end(), known.links.begin(), known.links.end());
       known.health = {};
+      known.limit = {};
       known.applied.reset();
       known.retry_at = now;
     }
@@ -141,6 +142,14 @@
   return best;
 }
 
+int member_pool::Running(const member& of) const {
+  return static_cast<int>(
+      std::count_if(of.links.begin(), of.links.end(), [&](link_id id) {
+        const link& each = links_.at(id);
+        return !each.open || !each.awaited.empty();
+      }));
+}
+
 link* member_pool::FindReplaceable(const member& of,
                                    std::string_view organisation) {
   link* oldest = nullptr;
--- a/src/interactive/member_pool.h
+++ b/src/interactive/member_pool.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "src/interactive/concurrency_limit.h"
 #include "src/interactive/link.h"
 #include "src/interactive/position_history.h"
 #include "tarragondale/interactive.h"
@@ -25,6 +26,7 @@
   std::optional<log_position> applied;       ///< Last applied position it told.
   std::optional<time_point> lagging_at;      ///< Last answer that it lags.
   duration service_time = milliseconds(15);  ///< Moving average.
+  concurrency_limit limit;
   std::set<link_id> links;
 };
 
@@ -62,6 +64,9 @@
                  std::string_view organisation,
                  const session& wanted);
 
+  /// @brief Links that wait for an answer, or are being opened.
+  int Running(const member& of) const;
+
   /// @brief The idle link of another organisation that was used longest ago.
   link* FindReplaceable(const member& of, std::string_view organisation);
 
