--- a/src/interactive/broker_links.cc
+++ b/src/interactive/broker_links.cc
@@ -371,7 +371,7 @@
   of.current->link = 0;
   if (!of.current->writes || of.open) {
     of.current->excluded.push_back(on.member);
-    if (RetryLater(of, reason, options_.busy_backoff)) {
+    if (RetryLater(of, reason, duration(0))) {
       return;
     }
     return FinishWork(of, result_code::kDatabaseUnavailable, reason);
