--- a/include/tarragondale/base.h
+++ b/include/tarragondale/base.h
@@ -1,6 +1,6 @@
 // Public header of the base library: result codes, ids, addresses, time,
-// results with a reason, logging and digests. The bounded ring that joins
-// threads is in base/ring.h: oneTBB's headers triple the time to compile a file.
+// results with a reason, logging and digests. The ring that joins threads is in
+// base/ring.h: oneTBB's headers would triple what each file reads.
 #ifndef TARRAGONDALE_BASE_H_
 #define TARRAGONDALE_BASE_H_
 
