--- a/review/standin/group.cc
+++ b/review/standin/group.cc
@@ -371,6 +371,7 @@
       --at->waiting;
     }
     ++at->running;
+    record::Line("member " + id + " runs " + statement + " for " + of.who);
     const int64_t work = DrawWorkMs();
     lock.unlock();
     SleepMs(work);
