--- a/review/3/removed_route.sh
+++ b/review/3/removed_route.sh
@@ -3,4 +3,5 @@
 set -uo pipefail
 here=$(cd "$(dirname "$0")" && pwd)
 . "$here/../common.sh"
-run_case removed_route 18
+# TROUBLE=0 runs the case without the disruption.
+run_case removed_route 18 "${TROUBLE:-1}"
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,5 @@
 set -uo pipefail
 here=$(cd "$(dirname "$0")" && pwd)
 . "$here/../common.sh"
-run_case rolling_restart 17
+# TROUBLE=0 runs the case without the disruption.
+run_case rolling_restart 17 "${TROUBLE:-1}"
--- a/review/common.sh
+++ b/review/common.sh
@@ -3,7 +3,6 @@
 
 root=$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)
 cd "$root"
-trouble=${TROUBLE:-1}
 temporary=$(mktemp -d)
 prefix=127.$((RANDOM % 200 + 20)).$((RANDOM % 250 + 1))
 processes=()
@@ -80,15 +79,16 @@
   done
 }
 
-# run_case PROGRAM VMS: starts the stand-ins, then the VMs, and exits with the
-# verdict: 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+# run_case PROGRAM VMS TROUBLE: starts the stand-ins, then the VMs, and exits
+# with the verdict: 1 if the rule was broken, 0 if it held, 2 if the case
+# couldn't run. TROUBLE 0: without the disruption.
 run_case() {
   local verdict
   [ -x target/src/tarragondaled ] && [ -x "target/review/$1" ] || {
     echo "build first: the deploy file's build, then review/build.sh"
     exit 2
   }
-  "target/review/$1" "$prefix" "$here/record.txt" "$trouble" "$temporary" \
+  "target/review/$1" "$prefix" "$here/record.txt" "$3" "$temporary" \
     2>"$temporary/stderr" &
   local standins=$!
   processes+=("$standins")
