Log silent store connections and configurations that are not applied

A call without an answer on a kept connection, and a configuration that is ignored because a newer one is in force, left no line, so the logs could not tell silent connections from a store that went back. Metrics: version of the configuration in force and newest known revision of the store.

--- a/src/runtime/line/fleet_duty.h
+++ b/src/runtime/line/fleet_duty.h
@@ -67,6 +67,8 @@
   bool SendTo(const std::string& vm, wire::message_body body);
 
   const store_view& view() const { return view_; }
+  /// @brief Revision of this VM's copy of the store.
+  int64_t store_revision() const { return copy_.revision(); }
 
  private:
   store_mirror::handlers MirrorHandlers();
--- a/src/runtime/line/http_channel.cc
+++ b/src/runtime/line/http_channel.cc
@@ -6,6 +6,7 @@
 #include <boost/beast/http.hpp>
 #include <utility>
 
+#include "src/runtime/line/log_output.h"
 #include "tarragondale/base/endpoint.h"
 
 namespace tarragondale::runtime {
@@ -61,6 +62,8 @@
     request_.prepare_payload();
     limit_ = limit;
     stream_.expires_after(limit);
+    started_ = std::chrono::steady_clock::now();
+    kept_ = open_;
     if (open_) {
       return Write();
     }
@@ -71,6 +74,7 @@
         return self->Finish(error);
       }
       self->open_ = true;
+      self->heard_ = std::chrono::steady_clock::now();
       self->stream_.socket().set_option(net::ip::tcp::no_delay(true), error);
       self->Write();
     });
@@ -109,7 +113,8 @@
           if (error || self->parser_->is_done()) {
             return self->Finish(error);
           }
-          *self->last_progress_ = std::chrono::steady_clock::now();
+          self->heard_ = std::chrono::steady_clock::now();
+          *self->last_progress_ = self->heard_;
           self->stream_.expires_after(self->limit_);
           self->ReadSome();
         });
@@ -120,8 +125,14 @@
     outcome.sent = sent_;
     if (error) {
       outcome.error = error.message();
+      if (error == beast::error::timeout && kept_ && heard_ < started_) {
+        Log(log_level::kWarning, log_part::kStore,
+            "a connection that was kept open has been silent for {} ms.",
+            ToMs(std::chrono::steady_clock::now() - heard_));
+      }
       Close();
     } else {
+      heard_ = std::chrono::steady_clock::now();
       outcome.status = parser_->get().result_int();
       outcome.body = std::move(parser_->get().body());
       if (!parser_->keep_alive()) {
@@ -143,7 +154,10 @@
   http::request<http::string_body> request_;
   std::optional<http::response_parser<http::string_body>> parser_;
   callback done_;
-  duration limit_{0};  ///< Without progress.
+  duration limit_{0};                              ///< Without progress.
+  std::chrono::steady_clock::time_point started_;  ///< The present call.
+  std::chrono::steady_clock::time_point heard_;    ///< Opened, or read from.
+  bool kept_ = false;  ///< It was open before the present call.
   bool busy_ = false;
   bool open_ = false;
   bool sent_ = false;
--- a/src/runtime/line/line_daemon.cc
+++ b/src/runtime/line/line_daemon.cc
@@ -408,6 +408,14 @@
         metrics.lagging);
     set("tarragondale_rate_refused", "Operations beyond a rate.",
         metrics.rate_refused);
+    if (const auto& configuration = fleet_.view().configuration_snapshot()) {
+      set("tarragondale_configuration_version",
+          "Version of the configuration in force.",
+          static_cast<uint64_t>(configuration->version));
+    }
+    set("tarragondale_store_revision",
+        "Newest revision of the store that is known.",
+        static_cast<uint64_t>(fleet_.store_revision()));
     set("tarragondale_log_lines_dropped", "Log lines that were dropped.",
         DroppedLogLines());
     for (const auto& [code, count] : metrics.failures) {
--- a/src/runtime/line/store_view.cc
+++ b/src/runtime/line/store_view.cc
@@ -59,6 +59,11 @@
     return;
   }
   if (catalogue_ && decoded->version <= catalogue_->version) {
+    if (decoded->version < catalogue_->version) {
+      Log(log_level::kWarning, log_part::kConfig,
+          "configuration {} from {} is not applied: {} is in force.",
+          decoded->version, source, catalogue_->version);
+    }
     return;
   }
   catalogue_ = std::make_shared<const interactive::configuration_snapshot>(
