Notice silent connections to the store in time

Cause: a watch was trusted for 11 s. Only another call could tell that it was silent, and that call tried the kept connections one after the other, 1.3 s each. Class: a kept connection whose silence says nothing is trusted for as long as the longest call on it.

Now the store holds a watch for 1.5 s at most, with the same second of slack as before, and a call that gets no answer on a kept connection ends all others that have not been heard since it was sent. No call waits behind another silent connection.

Cost: more watch calls while nothing changes, at the VMs that watch (all up to 16, the relays above).

--- a/src/runtime/line/http_channel.cc
+++ b/src/runtime/line/http_channel.cc
@@ -28,13 +28,18 @@
 
 }  // namespace
 
+// Shared with the connections, which outlive the channel by a callback.
+struct http_channel::pool {
+  std::vector<std::shared_ptr<connection>> connections;
+  std::chrono::steady_clock::time_point last_progress;
+};
+
 // One call at a time; `busy_` from its start to its callback.
 class http_channel::connection
     : public std::enable_shared_from_this<connection> {
  public:
-  connection(net::io_context& context,
-             std::shared_ptr<std::chrono::steady_clock::time_point> progress)
-      : stream_(context), last_progress_(std::move(progress)) {}
+  connection(net::io_context& context, std::shared_ptr<pool> of)
+      : stream_(context), pool_(std::move(of)) {}
 
   bool busy() const { return busy_; }
   bool open() const { return open_; }
@@ -114,7 +119,7 @@
             return self->Finish(error);
           }
           self->heard_ = std::chrono::steady_clock::now();
-          *self->last_progress_ = self->heard_;
+          self->pool_->last_progress = self->heard_;
           self->stream_.expires_after(self->limit_);
           self->ReadSome();
         });
@@ -126,9 +131,7 @@
     if (error) {
       outcome.error = error.message();
       if (error == beast::error::timeout && kept_ && heard_ < started_) {
-        Log(log_level::kWarning, log_part::kStore,
-            "a connection that was kept open has been silent for {} ms.",
-            ToMs(std::chrono::steady_clock::now() - heard_));
+        EndSilentConnections();
       }
       Close();
     } else {
@@ -148,8 +151,25 @@
     done(std::move(outcome));
   }
 
+  // Connections tend to go silent together, when something on their path
+  // forgets them. Those that have not been heard since the unanswered call was
+  // sent are not trusted with another wait; their own calls end, too.
+  void EndSilentConnections() {
+    size_t ended = 0;
+    for (const auto& other : pool_->connections) {
+      if (other.get() != this && other->open_ && other->heard_ < started_) {
+        other->Close();
+        ++ended;
+      }
+    }
+    Log(log_level::kWarning, log_part::kStore,
+        "a connection that was kept open has been silent for {} ms; {} others "
+        "are closed.",
+        ToMs(std::chrono::steady_clock::now() - heard_), ended);
+  }
+
   beast::tcp_stream stream_;
-  std::shared_ptr<std::chrono::steady_clock::time_point> last_progress_;
+  std::shared_ptr<pool> pool_;
   beast::flat_buffer buffer_;
   http::request<http::string_body> request_;
   std::optional<http::response_parser<http::string_body>> parser_;
@@ -164,12 +184,20 @@
 };
 
 http_channel::http_channel(net::io_context& context, const std::string& address)
-    : context_(context), address_(address), endpoint_(EndpointOf(address)) {}
+    : context_(context),
+      address_(address),
+      endpoint_(EndpointOf(address)),
+      pool_(std::make_shared<pool>()) {}
 
 http_channel::~http_channel() {
-  for (const auto& each : connections_) {
+  for (const auto& each : pool_->connections) {
     each->Close();
   }
+  pool_->connections.clear();
+}
+
+std::chrono::steady_clock::time_point http_channel::last_progress() const {
+  return pool_->last_progress;
 }
 
 void http_channel::SetAddress(const std::string& address) {
@@ -179,12 +207,12 @@
   address_ = address;
   endpoint_ = EndpointOf(address);
   // Connections of running calls are kept alive by those calls.
-  for (const auto& each : connections_) {
+  for (const auto& each : pool_->connections) {
     if (!each->busy()) {
       each->Close();
     }
   }
-  connections_.clear();
+  pool_->connections.clear();
 }
 
 void http_channel::Call(const platform::http_request& request,
@@ -195,19 +223,19 @@
 
 std::shared_ptr<http_channel::connection> http_channel::TakeIdle() {
   // Those that ended are forgotten, beyond a few that stay open.
-  std::erase_if(connections_, [](const auto& each) {
+  std::erase_if(pool_->connections, [](const auto& each) {
     return !each->busy() && !each->open();
   });
   std::shared_ptr<connection> idle;
   size_t open_count = 0;
-  for (const auto& each : connections_) {
+  for (const auto& each : pool_->connections) {
     if (!each->busy()) {
       idle = each;
       ++open_count;
     }
   }
   if (open_count > kMaxIdleConnections) {
-    std::erase_if(connections_, [&](const auto& each) {
+    std::erase_if(pool_->connections, [&](const auto& each) {
       const bool surplus = !each->busy() && each != idle;
       if (surplus) {
         each->Close();
@@ -216,8 +244,8 @@
     });
   }
   if (!idle) {
-    idle = std::make_shared<connection>(context_, last_progress_);
-    connections_.push_back(idle);
+    idle = std::make_shared<connection>(context_, pool_);
+    pool_->connections.push_back(idle);
   }
   return idle;
 }
--- a/src/runtime/line/http_channel.h
+++ b/src/runtime/line/http_channel.h
@@ -23,7 +23,9 @@
 };
 
 /// @brief Keeps connections to a service open and runs one call at a time on
-/// each. Used by one thread.
+/// each. If a kept connection does not answer, the others that were silent
+/// meanwhile are closed, and their calls end without an answer. Used by one
+/// thread.
 class http_channel {
  public:
   using callback = std::function<void(http_outcome)>;
@@ -44,22 +46,18 @@
             callback done);
 
   /// @brief When a part of a long answer arrived last.
-  std::chrono::steady_clock::time_point last_progress() const {
-    return *last_progress_;
-  }
+  std::chrono::steady_clock::time_point last_progress() const;
 
  private:
   class connection;
+  struct pool;
 
   std::shared_ptr<connection> TakeIdle();
 
   boost::asio::io_context& context_;
   std::string address_;
   boost::asio::ip::tcp::endpoint endpoint_;
-  std::vector<std::shared_ptr<connection>> connections_;
-  // Shared with the connections, which outlive the channel by a callback.
-  std::shared_ptr<std::chrono::steady_clock::time_point> last_progress_ =
-      std::make_shared<std::chrono::steady_clock::time_point>();
+  std::shared_ptr<pool> pool_;
 };
 
 }  // namespace tarragondale::runtime
--- a/src/runtime/line/store_mirror.cc
+++ b/src/runtime/line/store_mirror.cc
@@ -17,9 +17,11 @@
 constexpr duration kWatchPause = milliseconds(20);
 constexpr duration kStartWatchPause = milliseconds(250);
 constexpr duration kStartSpan = seconds(2);
-// A watch that is silent for longer has lost its connection.
-constexpr milliseconds kWatchWait(10'000);
-constexpr duration kWatchLimit = milliseconds(11'000);
+// How long the store holds a watch without changes. A connection that went
+// silent is noticed within `kWatchLimit`, so that a configuration is in force
+// in time even if no other VM can tell of it.
+constexpr milliseconds kWatchWait(1'500);
+constexpr duration kWatchLimit = milliseconds(2'500);
 // How long a known revision may be missing before the watch counts as silent.
 // Short enough that a configuration is in force in time.
 constexpr duration kExpectedLimit = milliseconds(800);
