Never adopt a member that leads in an older term than the primary

Cause: at the start of the choice the old primary's answer is set aside for 80 ms, since its position may be old, and its term was set aside with it. A member that led for a while meanwhile and still claims to be primary then counts as the leader of a newer term and is adopted.

The term counts at once now, and before the other members are looked at.

--- a/src/leadership/primary_manager_handover.cc
+++ b/src/leadership/primary_manager_handover.cc
@@ -299,6 +299,13 @@
 primary_manager::implementation::SurveyMembers(const std::string& group,
                                                handover& move) const {
   survey found;
+  // The old primary's term counts as soon as it is known, unlike what it has
+  // received.
+  const auto from = move.statuses.find(move.from);
+  if (from != move.statuses.end() && from->second.at >= move.state_since &&
+      from->second.status.primary) {
+    move.from_term = std::max(move.from_term, from->second.status.term);
+  }
   for (const interactive::member_record* each : MembersOf(group)) {
     const bool eligible = each->id != move.from && !each->draining &&
                           !move.refused.contains(each->id);
@@ -312,9 +319,6 @@
     if (each->id == move.from) {
       if (known->second.at >= move.state_since + kStatusMargin) {
         found.from = status;
-        if (status.primary) {
-          move.from_term = std::max(move.from_term, status.term);
-        }
       }
       continue;
     }
--- a/src/leadership/primary_manager_test.cc
+++ b/src/leadership/primary_manager_test.cc
@@ -507,6 +507,27 @@
   EXPECT_EQ(test.incarnation(), 71);
 }
 
+// Guards against adopting a member that led for a while after the record was
+// written and still claims to be primary, though the recorded one leads again.
+TEST(PrimaryManagerTest, SupersededMemberIsNotAdopted) {
+  for (uint64_t seed = 1; seed <= 10; ++seed) {
+    primary_manager_simulation test(seed);
+    test.Run(seconds(2));
+    test.KillMember("a");
+    test.Run(seconds(3));
+    ASSERT_EQ(test.primary(), "b");
+    test.ReviveMember("a");
+    test.Run(seconds(1));
+    test.Promote("c");
+    test.Promote("b");
+    test.members().at("b").draining = true;
+    test.PublishMembers();
+    test.Run(seconds(4));
+    EXPECT_TRUE(test.AllVmsHoldLease()) << seed;
+    EXPECT_EQ(test.violations(), std::vector<std::string>()) << seed;
+  }
+}
+
 TEST(RecordsTest, RecordsRoundTrip) {
   const primary_record primary{"i-1", 3, true, "vm-1/7", 9};
   const auto read = DecodePrimary({PrimaryKey("g"), EncodePrimary(primary), 9});
