A leaving member stays leaving when its entry goes back

A restored store holds the entry that a member wrote before it began to leave, until the member writes again, so the VMs would send it new work (DRAIN). An entry of the same start doesn't take 'draining' back any more. The test failed before.

--- a/src/runtime/line/member_listing.cc
+++ b/src/runtime/line/member_listing.cc
@@ -41,7 +41,13 @@
 void member_listing::Set(const std::string& key, const std::string& value) {
   auto record = platform::DecodeMember(key, value);
   if (record) {
-    members_[record->id] = std::move(*record);
+    interactive::member_record& known = members_[record->id];
+    // A member that leaves doesn't come back but by a new start. An entry that
+    // says so is older: the store was restored from a copy.
+    const bool leaving =
+        known.draining && known.started_ms == record->started_ms;
+    known = std::move(*record);
+    known.draining = known.draining || leaving;
   } else {
     members_.erase(IdOf(key));
     Log(log_level::kWarning, log_part::kStore, "{}; it names no member.",
--- a/src/runtime/line/member_listing_test.cc
+++ b/src/runtime/line/member_listing_test.cc
@@ -42,6 +42,29 @@
   EXPECT_EQ(listing.members().begin()->second.address, "127.0.0.1:2");
 }
 
+// Guards against new work for a member that leaves, when a restored store holds
+// its entry from before.
+TEST(MemberListingTest, LeavingMemberStaysLeavingUntilItStartsAgain) {
+  const auto entry = [](std::string_view state, int born) {
+    return store::keyspace::change{
+        {.key = Key("a"),
+         .value = fmt::format(
+             R"({{"service":"g","address":"127.0.0.1:1","zone":"z","slots":2,)"
+             R"("state":"{}","dbRole":"replica","sequence":1,"born":{}}})",
+             state, born),
+         .revision = 1},
+        false};
+  };
+  member_listing listing;
+  listing.Apply(entry("ready", 5));
+  EXPECT_FALSE(listing.members().at("a").draining);
+  listing.Apply(entry("draining", 5));
+  listing.Apply(entry("ready", 5));
+  EXPECT_TRUE(listing.members().at("a").draining);
+  listing.Apply(entry("ready", 6));
+  EXPECT_FALSE(listing.members().at("a").draining);
+}
+
 // Guards against the use of an entry that became unreadable.
 TEST(MemberListingTest, UnreadableEntryNamesNoMember) {
   member_listing listing;
