--- a/src/leadership/primary_manager_test.cc
+++ b/src/leadership/primary_manager_test.cc
@@ -655,6 +655,16 @@
   EXPECT_FALSE(read(7)) << "written in an era that the store has not reached";
 }
 
+// Guards against a value of another writer that ends the process.
+TEST(RecordsTest, DeeplyNestedValuesAreRejected) {
+  constexpr size_t kDepth = 300'000;
+  const std::string value = R"({"member":)" + std::string(kDepth, '[') +
+                            std::string(kDepth, ']') + "}";
+  EXPECT_FALSE(DecodePrimary({.key = PrimaryKey("g"), .value = value}));
+  EXPECT_FALSE(DecodeVm({.key = VmKey("v"), .value = value}));
+  EXPECT_FALSE(DecodeController({.key = ControllerKey(), .value = value}));
+}
+
 TEST(RecordsTest, RecordsRoundTrip) {
   const primary_record primary{"i-1", 3, true, "vm-1/7", 9};
   const auto read = DecodePrimary({PrimaryKey("g"), EncodePrimary(primary), 9});
--- a/src/leadership/records.cc
+++ b/src/leadership/records.cc
@@ -20,7 +20,10 @@
 // one.
 json Object(const store::keyspace::item& item) {
   json value = json::parse(item.value, nullptr, false);
-  return value.is_object() ? value : json(json::value_t::discarded);
+  if (!value.is_object()) {
+    value = json(json::value_t::discarded);
+  }
+  return value;
 }
 
 // Reads a field of the object. Returns false if it is missing or has another
