--- a/src/runtime/line/http_channel_test.cc
+++ b/src/runtime/line/http_channel_test.cc
@@ -86,7 +86,7 @@
                                                     duration limit) {
     auto outcome = std::make_shared<std::optional<http_outcome>>();
     channel_.Call({"GET", target, {}, ""}, limit,
-                  [outcome](http_outcome result) { *outcome = result; });
+                  [outcome](const http_outcome& result) { *outcome = result; });
     return outcome;
   }
 
