The fleet keeps its size while VMs register again after a restore

A restored store has lost all registrations, so each VM saw the fleet shrink to those that had registered again; with a fleet of one, a VM admits each organisation's whole rate, and above 16 VMs each took itself for a relay. The era is also learnt from the revision in other VMs' digests. The test failed before.

--- a/include/tarragondale/leadership.h
+++ b/include/tarragondale/leadership.h
@@ -119,6 +119,7 @@
 /// `items` don't exist.
 struct items_loaded {
   std::vector<store::keyspace::item> items;
+  int64_t revision = 0;  ///< Of the store.
 };
 /// @brief Reply to a `call_store`.
 struct store_answered {
--- a/src/leadership/fake_keyspace.h
+++ b/src/leadership/fake_keyspace.h
@@ -63,6 +63,8 @@
     return all;
   }
 
+  int64_t revision() const { return InEra(revision_); }
+
   /// @brief Keeps a copy of the items, for `Restore`.
   void Save() { saved_ = {items_, revision_, last_lease_}; }
 
--- a/src/leadership/primary_manager.cc
+++ b/src/leadership/primary_manager.cc
@@ -82,8 +82,8 @@
 void primary_manager::implementation::On(const items_loaded& event) {
   bool controller_listed = false;
   std::set<std::string> vms;
+  NoticeEra(event.revision);
   for (const store::keyspace::item& item : event.items) {
-    NoticeEra(item.revision);
     controller_listed = controller_listed || item.key == ControllerKey();
     if (item.key.starts_with(VmPrefix())) {
       vms.insert(item.key.substr(VmPrefix().size()));
@@ -161,12 +161,16 @@
                  known.peer_address != record.peer_address;
   known = record;
   unregistered_.erase(name);
+  lost_vms_.erase(name);
 }
 
 void primary_manager::implementation::ApplyRemoval(std::string_view key) {
   if (key.starts_with(VmPrefix())) {
     const std::string name(key.substr(VmPrefix().size()));
-    if (vms_.erase(name) > 0) {
+    if (now_ < lost_entries_end_ && vms_.contains(name)) {
+      lost_vms_.insert(name);
+      unregistered_[name] = now_;
+    } else if (vms_.erase(name) > 0) {
       fleet_dirty_ = true;
       unregistered_[name] = now_;
     }
@@ -263,6 +267,7 @@
     from.made_after =
         std::max(from.made_after.value_or(*event.echo_sent), *event.echo_sent);
   }
+  NoticeEra(event.digest.store_revision);
   for (const wire::primary_state& state : event.digest.primaries) {
     NoticeEra(state.epoch);
     ApplyRecord(state.group,
@@ -387,7 +392,7 @@
   std::erase_if(unregistered_, [&](const auto& each) {
     return now_ - each.second > options_.registration_lifetime;
   });
-  DropUnlistedMembers();
+  DropLostEntries();
   MaintainRegistration();
   MaintainController();
   MaintainConfirmation();
--- a/src/leadership/primary_manager_implementation.h
+++ b/src/leadership/primary_manager_implementation.h
@@ -194,8 +194,8 @@
   bool IsOfFormerEra(const primary_record& record) const;
   bool AllRecordsAreOfPresentEra() const;
   int64_t StoredRevision(const std::string& group) const;
-  void KeepListedMembers();
-  void DropUnlistedMembers();
+  void KeepLostEntries();
+  void DropLostEntries();
 
   // --- Events (primary_manager.cc) ---
   void On(const item_seen& event);
@@ -350,12 +350,14 @@
   std::vector<action> actions_;
   uint64_t last_tag_ = 0;
   std::map<uint64_t, pending_call> calls_;
-  /// The directory, and until `listed_members_end_` what it listed before the
+  /// The directory, and until `lost_entries_end_` what it listed before the
   /// store was restored: entries that were lost are written again by then.
   interactive::member_directory_ptr members_;
   interactive::member_directory_ptr directory_;  ///< As it was received last.
   interactive::member_directory_ptr listed_members_;
-  time_point listed_members_end_;
+  /// VMs whose registration the restored store has lost; they stay in `vms_`.
+  std::set<std::string, std::less<>> lost_vms_;
+  time_point lost_entries_end_;
   interactive::configuration_snapshot_ptr catalogue_;
   std::map<std::string, time_point, std::less<>> unlisted_since_;
 
--- a/src/leadership/primary_manager_restore.cc
+++ b/src/leadership/primary_manager_restore.cc
@@ -29,7 +29,7 @@
   confirmed_.clear();
   confirming_ = false;
   next_confirm_ = now_;
-  KeepListedMembers();
+  KeepLostEntries();
   // A former controller that does not know of the restore may act for a while.
   // The next one promotes only after that VM has given up its primary leases,
   // and so has heard of the restore, or after they expired. By then its lease
@@ -85,16 +85,26 @@
   return stored == stored_revisions_.end() ? 0 : stored->second;
 }
 
-void primary_manager::implementation::KeepListedMembers() {
+// Members and VMs write their entries again. Until they have had the time to, a
+// missing entry says nothing: a fleet that seems to shrink would give each VM a
+// larger share of the rates.
+void primary_manager::implementation::KeepLostEntries() {
   listed_members_ = members_;
-  listed_members_end_ = now_ + options_.unlisted_timeout;
+  lost_entries_end_ = now_ + options_.unlisted_timeout;
 }
 
-void primary_manager::implementation::DropUnlistedMembers() {
-  if (listed_members_ && now_ >= listed_members_end_) {
+void primary_manager::implementation::DropLostEntries() {
+  if (now_ < lost_entries_end_) {
+    return;
+  }
+  if (listed_members_) {
     listed_members_.reset();
     On(members_changed{directory_});
   }
+  for (const std::string& name : std::exchange(lost_vms_, {})) {
+    vms_.erase(name);
+    fleet_dirty_ = true;
+  }
 }
 
 }  // namespace tarragondale::leadership
--- a/src/leadership/primary_manager_simulation.h
+++ b/src/leadership/primary_manager_simulation.h
@@ -40,6 +40,9 @@
     std::map<std::string, interactive::primary_lease, std::less<>>
         primary_leases;
     size_t active_statements = 0;  ///< Statements that run on the primary.
+    /// Sizes of the fleet as published last, and the smallest since it was set.
+    size_t fleet_size = 0;
+    size_t smallest_fleet = 0;
     time_point next_digest;
     struct digest_exchange {
       uint64_t last_received = 0;
@@ -365,7 +368,11 @@
       Deliver(machine, incarnation, answered);
     });
   }
-  void Perform(vm& /*machine*/, const publish_fleet& /*action*/) {}
+  void Perform(vm& machine, const publish_fleet& action) {
+    machine.fleet_size = action.vms.size();
+    machine.smallest_fleet =
+        std::min(machine.smallest_fleet, machine.fleet_size);
+  }
   void Perform(vm& machine, const log_message& action) {
     if (trace) {
       printf("%8.3f %s %s\n",
@@ -523,7 +530,7 @@
     for (const auto& [key, value] : store_.items()) {
       all.push_back(value);
     }
-    Step(machine, items_loaded{std::move(all)});
+    Step(machine, items_loaded{std::move(all), store_.revision()});
   }
 
   // --- Members ---
--- a/src/leadership/primary_manager_test.cc
+++ b/src/leadership/primary_manager_test.cc
@@ -629,6 +629,29 @@
   EXPECT_GT(repeated, 0) << "the former controller never acted on";
 }
 
+// Guards against VMs that take the fleet for a small one, and so spend larger
+// shares of the rates, while all register again.
+TEST(PrimaryManagerTest, FleetKeepsItsSizeWhileVmsRegisterAgain) {
+  primary_manager_simulation test(1);
+  test.SaveStore();
+  test.Run(seconds(5));
+  for (const auto& each : test.vms()) {
+    ASSERT_EQ(each->fleet_size, 5U);
+    each->smallest_fleet = each->fleet_size;
+  }
+  RestoreAfterOutage(test);
+  test.Run(seconds(6));
+  for (const auto& each : test.vms()) {
+    EXPECT_EQ(each->smallest_fleet, 5U) << each->name;
+  }
+  test.Kill(*test.vms()[0]);
+  RestoreAfterOutage(test);
+  test.Run(seconds(4));
+  for (const auto& each : test.vms()) {
+    EXPECT_EQ(each->fleet_size, each->alive ? 4U : 5U) << each->name;
+  }
+}
+
 TEST(PrimaryManagerTest, RecordThatTheCopyLacksIsWrittenAgain) {
   primary_manager_simulation test(1);
   test.SaveStore();
--- a/src/runtime/line/fleet_duty.cc
+++ b/src/runtime/line/fleet_duty.cc
@@ -174,7 +174,7 @@
   const auto changes = copy_.Load(items, revision);
   mirror_.Advance(copy_.revision());
   if (!view_.loaded()) {
-    view_.Load(items, "the store");
+    view_.Load(items, copy_.revision(), "the store");
   } else {
     view_.Apply(changes, "the store");
   }
@@ -209,7 +209,7 @@
   mirror_.Advance(copy_.revision());
   const std::string source = "VM " + vm;
   if (!view_.loaded()) {
-    view_.Load(copy_.Items(), source);
+    view_.Load(copy_.Items(), copy_.revision(), source);
   } else {
     view_.Apply(*changes, source);
   }
--- a/src/runtime/line/store_view.cc
+++ b/src/runtime/line/store_view.cc
@@ -10,10 +10,12 @@
 namespace tarragondale::runtime {
 
 void store_view::Load(const std::vector<store::keyspace::item>& items,
+                      int64_t revision,
                       std::string_view source) {
   loaded_ = true;
   listing_.Load(items);
   leadership::items_loaded fleet;
+  fleet.revision = revision;
   for (const store::keyspace::item& item : items) {
     if (item.key.starts_with(leadership::kKeyPrefix)) {
       fleet.items.push_back(item);
--- a/src/runtime/line/store_view.h
+++ b/src/runtime/line/store_view.h
@@ -26,8 +26,9 @@
 
   explicit store_view(handlers handlers) : handlers_(std::move(handlers)) {}
 
-  /// @brief All keys were read. `source` is for people.
+  /// @brief All keys were read at `revision`. `source` is for people.
   void Load(const std::vector<store::keyspace::item>& items,
+            int64_t revision,
             std::string_view source);
 
   void Apply(const std::vector<store::keyspace::change>& changes,
