--- a/src/leadership/primary_manager.cc
+++ b/src/leadership/primary_manager.cc
@@ -167,10 +167,7 @@
 void primary_manager::implementation::ApplyRemoval(std::string_view key) {
   if (key.starts_with(VmPrefix())) {
     const std::string name(key.substr(VmPrefix().size()));
-    if (now_ < lost_entries_end_ && vms_.contains(name)) {
-      lost_vms_.insert(name);
-      unregistered_[name] = now_;
-    } else if (vms_.erase(name) > 0) {
+    if (!lost_vms_.contains(name) && vms_.erase(name) > 0) {
       fleet_dirty_ = true;
       unregistered_[name] = now_;
     }
--- a/src/leadership/primary_manager_restore.cc
+++ b/src/leadership/primary_manager_restore.cc
@@ -87,9 +87,16 @@
 
 // Members and VMs write their entries again. Until they have had the time to, a
 // missing entry says nothing: a fleet that seems to shrink would give each VM a
-// larger share of the rates.
+// larger share of the rates. But a VM that has not registered again may hold
+// primary leases that no list of VMs shows.
 void primary_manager::implementation::KeepLostEntries() {
   listed_members_ = members_;
+  for (const auto& [name, vm] : vms_) {
+    if (name != self_.name) {
+      lost_vms_.insert(name);
+      unregistered_[name] = now_;
+    }
+  }
   lost_entries_end_ = now_ + options_.unlisted_timeout;
 }
 
--- a/src/leadership/primary_manager_test.cc
+++ b/src/leadership/primary_manager_test.cc
@@ -629,6 +629,24 @@
   EXPECT_GT(repeated, 0) << "the former controller never acted on";
 }
 
+// Guards against a promotion while a VM that is cut off holds a primary lease,
+// by a controller that knows of the restore before it has seen what was lost.
+TEST(PrimaryManagerTest, LostRegistrationsAreWaitedFor) {
+  for (uint64_t seed = 1; seed <= 10; ++seed) {
+    primary_manager_simulation test(seed, 2);
+    test.Run(seconds(20));
+    test.SaveStore();
+    test.vms()[0]->watch_stalled = true;
+    test.vms()[1]->store_unreachable = true;
+    test.vms()[1]->peers_unreachable = true;
+    test.RestoreStore();
+    test.KillMember("a");
+    test.Run(seconds(10));
+    EXPECT_EQ(test.promotions(), 1) << seed;
+    EXPECT_EQ(test.violations(), std::vector<std::string>()) << seed;
+  }
+}
+
 // Guards against VMs that take the fleet for a small one, and so spend larger
 // shares of the rates, while all register again.
 TEST(PrimaryManagerTest, FleetKeepsItsSizeWhileVmsRegisterAgain) {
