The controller that a restored store names takes its role again

The VM that the copy's record names may claim the role now, on condition of that record. Other VMs wait for the lease to end, as before. The controller's own registration counts as seen once it is written.

The fake store restores with or without the leases of its copy. The simulated digests tell the primary manager's incarnation, as the daemon's do; with the process's own, a controller waited 3 s for VMs that had registered twice.

--- a/src/leadership/fake_keyspace.h
+++ b/src/leadership/fake_keyspace.h
@@ -65,16 +65,21 @@
 
   int64_t revision() const { return InEra(revision_); }
 
-  /// @brief Keeps a copy of the items, for `Restore`.
-  void Save() { saved_ = {items_, revision_, last_lease_}; }
-
-  /// @brief Puts the copy in place of the items. All leases end; revisions and
-  /// leases are given out again.
-  void Restore() {
-    std::tie(items_, revision_, last_lease_) = saved_;
-    leases_.clear();
-    std::erase_if(items_,
-                  [](const auto& each) { return each.second.lease != 0; });
+  /// @brief Keeps a copy of the items and leases, for `Restore`.
+  void Save() { saved_ = {items_, revision_, leases_, last_lease_}; }
+
+  /// @brief Puts the copy in place of the items. Revisions and leases are given
+  /// out again. All leases end, or those of the copy are as if renewed.
+  void Restore(bool keep_leases, time_point now) {
+    std::tie(items_, revision_, leases_, last_lease_) = saved_;
+    for (auto& [id, lease] : leases_) {
+      lease.second = now;
+    }
+    if (!keep_leases) {
+      leases_.clear();
+      std::erase_if(items_,
+                    [](const auto& each) { return each.second.lease != 0; });
+    }
     ++era_;
   }
 
@@ -176,7 +181,11 @@
   std::map<int64_t, std::pair<milliseconds, time_point>> leases_;
   int64_t last_lease_ = 0;
   int64_t era_ = 0;
-  std::tuple<std::map<std::string, item>, int64_t, int64_t> saved_;
+  std::tuple<std::map<std::string, item>,
+             int64_t,
+             std::map<int64_t, std::pair<milliseconds, time_point>>,
+             int64_t>
+      saved_;
 };
 
 }  // namespace tarragondale::leadership
--- a/src/leadership/primary_manager_implementation.h
+++ b/src/leadership/primary_manager_implementation.h
@@ -367,6 +367,9 @@
   held_lease controller_lease_;
   std::optional<controller_record> controller_;
   bool is_controller_ = false;
+  /// The controller's record in a restored store may name this VM, with a lease
+  /// that it no longer holds.
+  bool may_reclaim_ = false;
   time_point next_claim_;
   std::optional<time_point> undecided_since_;  ///< See `ResignIfUndecided`.
   bool draining_ = false;
--- a/src/leadership/primary_manager_leases.cc
+++ b/src/leadership/primary_manager_leases.cc
@@ -83,6 +83,7 @@
   if (kind == call_kind::kWriteRegistration) {
     registered_ = true;
     registered_at_ = now_;
+    lost_vms_.erase(self_.name);
     next_confirm_ = now_;
     if (!controller_) {
       DelayClaim();
@@ -122,8 +123,9 @@
          store::keyspace::renew_call{controller_lease_.lease});
     return;
   }
-  const bool own_former = controller_ && controller_->holder == self_.name &&
-                          controller_->incarnation != self_.incarnation;
+  const bool own_former =
+      controller_ && controller_->holder == self_.name &&
+      (may_reclaim_ || controller_->incarnation != self_.incarnation);
   if (draining_ || !registered_ || (controller_ && !own_former) ||
       now_ < next_claim_) {
     return;
@@ -198,6 +200,7 @@
                    controller_->incarnation == self_.incarnation;
   if (own && !is_controller_ && controller_lease_.lease != 0) {
     is_controller_ = true;
+    may_reclaim_ = false;
     Log(log_level::kInfo,
         "became the failover controller with fencing token {}",
         controller_->token);
--- a/src/leadership/primary_manager_restore.cc
+++ b/src/leadership/primary_manager_restore.cc
@@ -37,6 +37,7 @@
   is_controller_ = false;
   controller_.reset();
   controller_lease_ = {};
+  may_reclaim_ = true;
   DelayClaim();
   registration_ = {};
   registered_ = false;
@@ -92,10 +93,8 @@
 void primary_manager::implementation::KeepLostEntries() {
   listed_members_ = members_;
   for (const auto& [name, vm] : vms_) {
-    if (name != self_.name) {
-      lost_vms_.insert(name);
-      unregistered_[name] = now_;
-    }
+    lost_vms_.insert(name);
+    unregistered_[name] = now_;
   }
   lost_entries_end_ = now_ + options_.unlisted_timeout;
 }
--- a/src/leadership/primary_manager_simulation.h
+++ b/src/leadership/primary_manager_simulation.h
@@ -172,8 +172,8 @@
   void SaveStore() { store_.Save(); }
   /// @brief The store goes on from its copy. The VMs learn of it when they load
   /// all items, or by the next answer.
-  void RestoreStore() {
-    store_.Restore();
+  void RestoreStore(bool keep_leases = false) {
+    store_.Restore(keep_leases, now_);
     for (const auto& each : vms_) {
       vms_to_reload_.insert(each->name);
     }
@@ -452,7 +452,7 @@
 
   void SendDigest(vm& from, vm& to) {
     wire::fleet_digest digest;
-    digest.incarnation = from.incarnation;
+    digest.incarnation = from.manager->incarnation();
     digest.leaving = from.manager->leaving();
     if (const auto confirmed = from.manager->confirmed_at()) {
       digest.confirmed_age_ms = ToMs(now_ - *confirmed) + 1;
--- a/src/leadership/primary_manager_test.cc
+++ b/src/leadership/primary_manager_test.cc
@@ -531,10 +531,11 @@
 // --- Restored store ---
 
 // The store is away for two seconds and comes back from its copy.
-void RestoreAfterOutage(primary_manager_simulation& test) {
+void RestoreAfterOutage(primary_manager_simulation& test,
+                        bool keep_leases = false) {
   test.store_up = false;
   test.Run(seconds(2));
-  test.RestoreStore();
+  test.RestoreStore(keep_leases);
   test.store_up = true;
 }
 
@@ -552,6 +553,22 @@
   }
 }
 
+// Guards against primaries that are not used until the lease of the controller
+// in the copy has expired, which nobody renews.
+TEST(PrimaryManagerTest, ControllerOfTheCopyTakesItsRoleAgain) {
+  for (uint64_t seed = 1; seed <= 10; ++seed) {
+    primary_manager_simulation test(seed);
+    test.Run(seconds(5));
+    test.SaveStore();
+    test.Run(seconds(6));
+    RestoreAfterOutage(test, true);
+    test.Run(milliseconds(1'500));
+    EXPECT_TRUE(test.AllVmsHoldLease()) << seed;
+    EXPECT_EQ(test.promotions(), 0) << seed;
+    EXPECT_EQ(test.violations(), std::vector<std::string>()) << seed;
+  }
+}
+
 // Guards against leases for the former primary, whose record came back with the
 // copy.
 TEST(PrimaryManagerTest, ReplacementThatTheStoreForgotStays) {
@@ -748,7 +765,7 @@
   }
   const bool up = std::exchange(test.store_up, false);
   test.Run(milliseconds(static_cast<int64_t>(test.RandomIndex(3'000))));
-  test.RestoreStore();
+  test.RestoreStore(test.RandomBool(0.5));
   test.store_up = up;
 }
 
