Large values of other writers cost no parsing

Trace: parsing two nested entries of 600 KB held the daemon's thread for 4 s, so that it lost the failover controller role, and the store stand-in, whose leases last, never let the role become vacant.

--- a/src/leadership/records.cc
+++ b/src/leadership/records.cc
@@ -11,6 +11,10 @@
 
 using nlohmann::json;
 
+// Records of primaries and of the controller hold a few names. They are read
+// again and again, so a value of another writer must not cost much each time.
+constexpr size_t kMaxRecordBytes = 16U << 10U;
+
 failure Invalid(const store::keyspace::item& item) {
   return {result_code::kStoreRowInvalid,
           fmt::format("the value of key {:?} is not a valid record", item.key)};
@@ -97,6 +101,9 @@
 }
 
 result<primary_record> DecodePrimary(const store::keyspace::item& item) {
+  if (item.value.size() > kMaxRecordBytes) {
+    return Invalid(item);
+  }
   const json value = Object(item);
   primary_record record;
   if (value.is_discarded() ||
@@ -145,6 +152,9 @@
 }
 
 result<controller_record> DecodeController(const store::keyspace::item& item) {
+  if (item.value.size() > kMaxRecordBytes) {
+    return Invalid(item);
+  }
   const json value = Object(item);
   controller_record record;
   if (value.is_discarded() ||
