Reset the connection of a call to the platform that is given up

Cause: http_channel closed the connection without a reset, and the system went on delivering what a cut had held up. Beast's timer closes the socket itself, so the linger time of 0 is set before the first call.

Both new tests failed before: the server saw a normal end.

--- a/src/runtime/line/http_channel.cc
+++ b/src/runtime/line/http_channel.cc
@@ -41,6 +41,11 @@
   connection(net::io_context& context, std::shared_ptr<pool> of)
       : stream_(context), pool_(std::move(of)) {}
 
+  // A socket that is destroyed while open would not be reset.
+  ~connection() { Close(); }
+  connection(const connection&) = delete;
+  connection& operator=(const connection&) = delete;
+
   bool busy() const { return busy_; }
   bool open() const { return open_; }
 
@@ -73,18 +78,21 @@
       return Write();
     }
     buffer_.clear();
-    stream_.async_connect(endpoint, [self = shared_from_this()](
-                                        beast::error_code error) {
-      if (error) {
-        return self->Finish(error);
-      }
-      self->open_ = true;
-      self->heard_ = std::chrono::steady_clock::now();
-      self->stream_.socket().set_option(net::ip::tcp::no_delay(true), error);
-      self->Write();
-    });
+    stream_.async_connect(
+        endpoint, [self = shared_from_this()](beast::error_code error) {
+          if (error) {
+            return self->Finish(error);
+          }
+          self->open_ = true;
+          self->heard_ = std::chrono::steady_clock::now();
+          if (const beast::error_code failed = self->SetOptions()) {
+            return self->Finish(failed);
+          }
+          self->Write();
+        });
   }
 
+  // Resets the connection (see `SetOptions`).
   void Close() {
     open_ = false;
     beast::error_code ignored;
@@ -92,6 +100,19 @@
   }
 
  private:
+  // With a linger time of 0, closing resets the connection and discards what
+  // was not delivered. Otherwise the system would go on delivering a call that
+  // was given up, which could then take effect at any later time. The timer of
+  // `stream_` closes the socket itself, so this is set before the first call.
+  beast::error_code SetOptions() {
+    beast::error_code error;
+    stream_.socket().set_option(net::ip::tcp::no_delay(true), error);
+    if (!error) {
+      stream_.socket().set_option(net::socket_base::linger(true, 0), error);
+    }
+    return error;
+  }
+
   void Write() {
     sent_ = true;
     http::async_write(
--- a/src/runtime/line/http_channel.h
+++ b/src/runtime/line/http_channel.h
@@ -25,6 +25,9 @@
 /// each. If a kept connection does not answer, the others that were silent
 /// meanwhile are closed, and their calls end without an answer. Used by one
 /// thread.
+///
+/// Invariant: a call that ended without an answer has arrived before it ended,
+/// or never arrives, whatever the network held up: its connection is reset.
 class http_channel {
  public:
   using callback = std::function<void(http_outcome)>;
--- a/src/runtime/line/http_channel_test.cc
+++ b/src/runtime/line/http_channel_test.cc
@@ -29,6 +29,17 @@
   }
   size_t accepted() const { return connections_.size(); }
 
+  /// How each connection ended, in the order in which they were opened; empty
+  /// while it is open.
+  std::vector<boost::system::error_code> ends() const {
+    std::vector<boost::system::error_code> found;
+    found.reserve(connections_.size());
+    for (const auto& each : connections_) {
+      found.push_back(each->end);
+    }
+    return found;
+  }
+
   /// Open connections stay open and answer nothing any more.
   void Silence() {
     for (const auto& each : connections_) {
@@ -41,6 +52,7 @@
     explicit connection(tcp::socket accepted) : socket(std::move(accepted)) {}
     tcp::socket socket;
     std::string received;
+    boost::system::error_code end;
     bool silent = false;
   };
 
@@ -61,6 +73,7 @@
         from->socket, net::dynamic_buffer(from->received), "\r\n\r\n",
         [this, from](boost::system::error_code error, size_t size) {
           if (error) {
+            from->end = error;
             return;
           }
           const bool held = from->received.starts_with("GET /held ");
@@ -131,5 +144,50 @@
   EXPECT_EQ((*next)->answer.status, 200U);
 }
 
+// Guards against a call that takes effect after its sender gave it up: a
+// connection that is closed without a reset still delivers what a partition
+// held up.
+TEST_F(HttpChannelTest, CallThatIsGivenUpResetsItsConnection) {
+  const auto first = Call("/", seconds(1));
+  context_.run_for(milliseconds(100));
+  ASSERT_TRUE(*first);
+  const auto on_kept_connection = Call("/held", milliseconds(100));
+  const auto on_new_connection = Call("/held", milliseconds(100));
+  context_.run_for(milliseconds(300));
+  ASSERT_TRUE(*on_kept_connection && *on_new_connection);
+  EXPECT_TRUE((*on_kept_connection)->sent);
+  ASSERT_EQ(server_.accepted(), 2U);
+  for (const boost::system::error_code& end : server_.ends()) {
+    EXPECT_EQ(end, net::error::connection_reset) << end.message();
+  }
+}
+
+// The same for a call that is still running when its channel ends, and for one
+// that was sent to a former address.
+TEST_F(HttpChannelTest, CallInProgressIsResetWhenItsChannelEnds) {
+  {
+    net::io_context own;
+    http_channel channel(own, server_.address());
+    const auto call = [&] {
+      channel.Call({"GET", "/held", {}, ""}, seconds(20),
+                   [](const http_outcome&) {});
+      for (int i = 0; i < 10; ++i) {
+        own.run_for(milliseconds(10));
+        context_.run_for(milliseconds(10));
+      }
+    };
+    call();
+    channel.SetAddress("127.0.0.2:" + server_.address().substr(
+                                          server_.address().find(':') + 1));
+    channel.SetAddress(server_.address());
+    call();
+  }
+  context_.run_for(milliseconds(100));
+  ASSERT_EQ(server_.accepted(), 2U);
+  for (const boost::system::error_code& end : server_.ends()) {
+    EXPECT_EQ(end, net::error::connection_reset) << end.message();
+  }
+}
+
 }  // namespace
 }  // namespace tarragondale::runtime
--- a/src/runtime/line/line_daemon.cc
+++ b/src/runtime/line/line_daemon.cc
@@ -36,6 +36,8 @@
 constexpr duration kSettingsInterval = seconds(1);
 constexpr duration kLogInterval = milliseconds(100);
 constexpr duration kStoreLimit = milliseconds(1'000);
+// Shorter than `leadership::options::controller_lease_margin`, so that no
+// promotion arrives after the controller's lease has expired.
 constexpr duration kPromotionLimit = milliseconds(700);
 // New work on a leaving member ends this long before its limit, for requests
 // that wait and run meanwhile.
