--- a/include/tarragondale/leadership.h
+++ b/include/tarragondale/leadership.h
@@ -209,6 +209,9 @@
   std::string member;
   int64_t term = 0;
 };
+/// @brief Answered by exactly one `promotion_answered`. A call without an
+/// answer is given up within `options::controller_lease_margin` and can't
+/// arrive then.
 struct promote_member {
   std::string group;
   std::string member;
@@ -388,7 +391,9 @@
   /// @brief True from `leave_started` on; no primary lease is held then.
   bool leaving() const;
 
-  /// @brief True once the registration has been revoked after `leave_started`.
+  /// @brief True once, after `leave_started`, the registration and the
+  /// controller's lease have been revoked. The latter waits for the end of all
+  /// promotions that this VM called for.
   bool left() const;
 
  private:
--- a/src/leadership/primary_manager.cc
+++ b/src/leadership/primary_manager.cc
@@ -324,6 +324,10 @@
 }
 
 void primary_manager::implementation::On(const promotion_answered& event) {
+  --promotion_calls_;
+  if (leaving_ && MayResign()) {
+    return ResignAsController();
+  }
   const auto found = handovers_.find(event.group);
   if (found == handovers_.end() || found->second.chosen != event.member ||
       found->second.machine.state() != chart::handover::state::kPromoting) {
@@ -350,7 +354,7 @@
 
 void primary_manager::implementation::On(const drain_started& /*event*/) {
   draining_ = true;
-  if (is_controller_ && handovers_.empty()) {
+  if (is_controller_ && handovers_.empty() && MayResign()) {
     ResignAsController();
   }
 }
@@ -367,7 +371,7 @@
   }
   PublishPrimaryLeases();
   actions_.push_back(send_digests{});
-  if (controller_lease_.lease != 0) {
+  if (MayResign()) {
     ResignAsController();
   }
   if (registration_.lease != 0) {
@@ -376,6 +380,15 @@
   }
 }
 
+bool primary_manager::implementation::left() const {
+  const bool resigning =
+      std::any_of(calls_.begin(), calls_.end(), [](const auto& each) {
+        return each.second.kind == call_kind::kRevokeControllerLease;
+      });
+  return leaving_ && registration_.lease == 0 && promotion_calls_ == 0 &&
+         !resigning;
+}
+
 void primary_manager::implementation::On(const tick& /*event*/) {
   next_tick_ = now_ + options_.tick_interval;
   PublishFleet();
--- a/src/leadership/primary_manager_handover.cc
+++ b/src/leadership/primary_manager_handover.cc
@@ -499,6 +499,7 @@
   }
   move.call_pending = true;
   move.maybe_promoted = true;
+  ++promotion_calls_;
   Log(log_level::kWarning, "group {}: promoting {} with fencing token {}",
       group, move.chosen, controller_->token);
   actions_.push_back(
--- a/src/leadership/primary_manager_implementation.h
+++ b/src/leadership/primary_manager_implementation.h
@@ -39,7 +39,7 @@
   }
   int64_t incarnation() const { return self_.incarnation; }
   bool leaving() const { return leaving_; }
-  bool left() const { return leaving_ && registration_.lease == 0; }
+  bool left() const;
 
  private:
   enum class call_kind : uint8_t {
@@ -231,6 +231,7 @@
   void OnConfirmed(const store_answered& event);
   void ApplyController(const std::optional<controller_record>& record);
   void DelayClaim();
+  bool MayResign() const;
   void ResignAsController();
   bool IsController() const;
   void PublishFleet();
@@ -371,6 +372,8 @@
   /// that it no longer holds.
   bool may_reclaim_ = false;
   time_point next_claim_;
+  /// Promotions that this VM called for and whose calls have not ended.
+  size_t promotion_calls_ = 0;
   std::optional<time_point> undecided_since_;  ///< See `ResignIfUndecided`.
   bool draining_ = false;
   bool leaving_ = false;
--- a/src/leadership/primary_manager_leases.cc
+++ b/src/leadership/primary_manager_leases.cc
@@ -215,6 +215,13 @@
   }
 }
 
+// Whether this VM holds the controller's lease and no promotion that it called
+// for can still arrive. Once the lease is revoked, the next controller may
+// promote another member at any time.
+bool primary_manager::implementation::MayResign() const {
+  return controller_lease_.lease != 0 && promotion_calls_ == 0;
+}
+
 void primary_manager::implementation::ResignAsController() {
   Call(call_kind::kRevokeControllerLease,
        store::keyspace::revoke_call{controller_lease_.lease});
--- a/src/leadership/primary_manager_simulation.h
+++ b/src/leadership/primary_manager_simulation.h
@@ -104,6 +104,8 @@
   /// Probability that the answer to a promotion is lost. The VM then receives
   /// `kUnknown`.
   double lost_promotion_answer_probability = 0;
+  /// Time after which a promotion reaches the platform.
+  duration promotion_delay = duration(0);
   /// If this function returns a delay for a store call, the call runs after
   /// that delay and its answer is lost.
   std::function<std::optional<duration>(vm&, const store::keyspace::call&)>
@@ -153,6 +155,12 @@
     machine.primary_leases.clear();
   }
 
+  /// @brief Shuts the VM down; `Kill` ends its process, once it has left.
+  void Leave(vm& machine) {
+    Step(machine, drain_started{});
+    Step(machine, leave_started{});
+  }
+
   /// @brief Cuts the VM off from all other VMs and lets its connections to all
   /// members fail. It still reaches the store.
   void Isolate(vm& machine) {
@@ -348,6 +356,14 @@
   void Perform(vm& machine, const promote_member& action) {
     ++promotion_calls_;
     last_promoting_vm_ = &machine;
+    if (promotion_delay > duration(0)) {
+      return RunAfter(promotion_delay, [this, &machine, action] {
+        ArriveAtPlatform(machine, action);
+      });
+    }
+    ArriveAtPlatform(machine, action);
+  }
+  void ArriveAtPlatform(vm& machine, const promote_member& action) {
     if (action.token < last_token_) {
       violations_.push_back("fencing token of a promotion decreased");
     }
--- a/src/leadership/primary_manager_suspicion.cc
+++ b/src/leadership/primary_manager_suspicion.cc
@@ -176,7 +176,7 @@
 // failed, so that a VM that hears more of the member's region can replace it.
 void primary_manager::implementation::ResignIfUndecided() {
   const std::optional<std::string> member =
-      handovers_.empty() ? UndecidedPrimary() : std::nullopt;
+      handovers_.empty() && MayResign() ? UndecidedPrimary() : std::nullopt;
   if (!member) {
     undecided_since_.reset();
     return;
--- a/src/leadership/primary_manager_test.cc
+++ b/src/leadership/primary_manager_test.cc
@@ -646,6 +646,31 @@
   EXPECT_GT(repeated, 0) << "the former controller never acted on";
 }
 
+// Guards against a promotion that reaches the platform after the next
+// controller's: a VM that shut down gave up the controller role while its own
+// promotion was on the way.
+TEST(PrimaryManagerTest, LeavingControllerResignsAfterItsPromotionArrived) {
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    primary_manager_simulation test(seed);
+    test.Run(seconds(2));
+    test.promotion_delay = milliseconds(690);
+    test.KillMember("a");
+    while (test.promotion_calls() == 0 && test.now() < TimeFromMs(1'010'000)) {
+      test.Run(milliseconds(10));
+    }
+    ASSERT_EQ(test.promotion_calls(), 1) << seed;
+    test.promotion_delay = duration(0);
+    auto& leaving = test.VmOfLastPromotion();
+    test.Leave(leaving);
+    test.Run(milliseconds(800));
+    EXPECT_TRUE(leaving.manager->left()) << seed;
+    test.Kill(leaving);
+    test.Run(seconds(10));
+    EXPECT_EQ(test.primary(), "b") << seed;
+    EXPECT_EQ(test.violations(), std::vector<std::string>()) << seed;
+  }
+}
+
 // Guards against a promotion while a VM that is cut off holds a primary lease,
 // by a controller that knows of the restore before it has seen what was lost.
 TEST(PrimaryManagerTest, LostRegistrationsAreWaitedFor) {
