Run each hosted statement for the present organisation of its key

Cause: the forwarder took the organisation from the key at the opening of the session; later it checked only that some organisation has the key.

The owner is looked up before each statement. If it has changed, the session is detached once its sent statements are answered, and attached for the new organisation with its state; an open transaction is rolled back. Three new tests failed before.

--- a/include/tarragondale/hosting.h
+++ b/include/tarragondale/hosting.h
@@ -169,6 +169,7 @@
   struct session {
     std::string database;
     std::string key;
+    /// For which the host runs the session's statements.
     std::string organisation;
     std::map<std::string, std::string, std::less<>> values;
     std::map<std::string, wire::prepared_shape, std::less<>> prepared;
@@ -192,7 +193,8 @@
   wire::hosting_id IdOf(interactive::session_id id, const session& of) const;
   const interactive::route* RouteOf(const session& of) const;
   std::string ChooseHost(time_point now, const session& of);
-  bool HasAccess(const session& of) const;
+  std::optional<std::string> OrganisationOf(const session& of) const;
+  void UpdateOrganisation(interactive::session_id id, session& of);
   void SendWaiting(time_point now, interactive::session_id id);
   bool AnswerWithoutHost(interactive::session_id id, session& of);
   void Attach(time_point now, interactive::session_id id, session& of);
--- a/src/hosting/forwarder.cc
+++ b/src/hosting/forwarder.cc
@@ -31,13 +31,11 @@
   opened.database = event.database;
   opened.key = event.key;
   const interactive::route* const route = RouteOf(opened);
-  if (route == nullptr || !HasAccess(opened)) {
+  const std::optional<std::string> organisation = OrganisationOf(opened);
+  if (route == nullptr || !organisation) {
     return false;
   }
-  if (!route->open) {
-    opened.organisation =
-        catalogue_->organisations_by_key.find(event.key)->second;
-  }
+  opened.organisation = *organisation;
   if (plan_.HostsOf(route->group, opened.organisation).empty()) {
     return false;
   }
@@ -79,10 +77,38 @@
   return found == catalogue_->routes.end() ? nullptr : &found->second;
 }
 
-bool forwarder::HasAccess(const session& of) const {
+// The organisation that the session's next statement runs for: the one that has
+// the session's key now. Empty if no organisation has it. On an open route, and
+// if the route is gone, which the broker reports, the key does not matter.
+std::optional<std::string> forwarder::OrganisationOf(const session& of) const {
   const interactive::route* const route = RouteOf(of);
-  return route == nullptr || route->open ||
-         catalogue_->organisations_by_key.contains(of.key);
+  if (route == nullptr || route->open) {
+    return of.organisation;
+  }
+  const auto owner = catalogue_->organisations_by_key.find(of.key);
+  if (owner == catalogue_->organisations_by_key.end()) {
+    return std::nullopt;
+  }
+  return owner->second;
+}
+
+// If the session's key has passed to another organisation, detaches the session
+// from its host, which runs it for the former one. This rolls back an open
+// transaction. Waits until all statements that were sent are answered.
+void forwarder::UpdateOrganisation(session_id id, session& of) {
+  const std::optional<std::string> organisation = OrganisationOf(of);
+  const bool unanswered =
+      !of.waiting.empty() && of.waiting.front().sequence != 0;
+  if (!organisation || *organisation == of.organisation || unanswered) {
+    return;
+  }
+  actions_.emplace_back(interactive::log_message{
+      log_level::kInfo,
+      fmt::format("session {} runs for organisation {} instead of {}: its key "
+                  "has passed on; configuration version {}",
+                  id, *organisation, of.organisation, catalogue_->version)});
+  Detach(id, of);
+  of.organisation = *organisation;
 }
 
 // Whether the statement may change data and so must not run twice. An unknown
@@ -187,6 +213,7 @@
 
 void forwarder::SendWaiting(time_point now, session_id id) {
   session& of = sessions_.at(id);
+  UpdateOrganisation(id, of);
   while (!of.waiting.empty() && of.host.empty() &&
          of.state != transaction_state::kIdle) {
     if (!AnswerWithoutHost(id, of)) {
@@ -197,7 +224,8 @@
     if (of.waiting[i].sequence != 0) {
       continue;
     }
-    if (!HasAccess(of)) {
+    const std::optional<std::string> organisation = OrganisationOf(of);
+    if (organisation != of.organisation) {
       // Statements that were sent earlier (`i > 0`) are answered first.
       if (i == 0) {
         Fail(id, result_code::kKeyInvalid,
@@ -234,8 +262,8 @@
 bool forwarder::AnswerWithoutHost(session_id id, session& of) {
   if (of.waiting.front().statement.kind != statement_kind::kRollback) {
     Fail(id, result_code::kTransactionAborted,
-         "the VM that ran the transaction no longer has its session; the "
-         "transaction was rolled back");
+         "the session was detached from the VM that ran its transaction, "
+         "which rolled it back");
     return false;
   }
   of.state = transaction_state::kIdle;
--- a/src/hosting/hosting_test.cc
+++ b/src/hosting/hosting_test.cc
@@ -180,13 +180,25 @@
   std::vector<std::string> ran;  ///< Ids of statements that a broker ran.
   int attachments = 0;           ///< `hosted_open` messages to hosts.
   bool closed = false;           ///< Whether the caller was disconnected.
-  void WithdrawKey() {
+  void WithdrawKey() { SetKeys({}); }
+  /// Replaces the keys of the configuration by `owners`, by key.
+  void SetKeys(const std::map<std::string, std::string>& owners) {
     auto changed =
         std::make_shared<interactive::configuration_snapshot>(*catalogue_);
-    changed->organisations_by_key.clear();
+    changed->organisations_by_key = {owners.begin(), owners.end()};
     changed->version = 2;
     entry_.SetCatalogue(changed);
   }
+  /// Organisations for which the hosts have sessions open.
+  std::vector<std::string> HostedOrganisations() const {
+    std::vector<std::string> found;
+    for (const auto& [name, each] : hosts_) {
+      for (const auto& [id, session] : each.sessions) {
+        found.push_back(session.organisation);
+      }
+    }
+    return found;
+  }
   std::map<std::string, vm>& hosts() { return hosts_; }
 
  private:
@@ -541,6 +553,72 @@
   EXPECT_TRUE(test.HostOf().sessions.empty());
 }
 
+// Guards against a session that goes on for the organisation that had its key
+// when it was opened. It keeps its state, like one that moves to another host.
+TEST(HostingTest, SessionRunsForThePresentOrganisationOfItsKey) {
+  hosted_fleet test;
+  test.Open();
+  test.Send(statement_kind::kSet, "zone", "x");
+  test.Send(statement_kind::kRead);
+  test.Run(milliseconds(100));
+  ASSERT_EQ(test.HostedOrganisations(), std::vector<std::string>{"red"});
+  test.SetKeys({{"key", "blue"}});
+  test.Send(statement_kind::kWrite);
+  test.Run(milliseconds(100));
+  ASSERT_EQ(test.answers.size(), 3U);
+  EXPECT_EQ(test.answers[2].code, result_code::kOk);
+  EXPECT_FALSE(test.closed);
+  ASSERT_EQ(test.HostedOrganisations(), std::vector<std::string>{"blue"});
+  EXPECT_EQ(test.HostOf("blue").sessions.begin()->second.values.size(), 1U);
+}
+
+// A statement that was sent before its key passed on is answered first; the
+// next one waits for it and runs for the new organisation.
+TEST(HostingTest, StatementsBeforeAndAfterTheKeyPassesOnKeepTheirOrder) {
+  hosted_fleet test;
+  test.Open();
+  hosted_fleet::vm& first = test.HostOf();
+  first.paused = true;
+  test.Send(statement_kind::kWrite);
+  test.Run(milliseconds(20));
+  const interactive::session_id former = first.sessions.begin()->first;
+  test.SetKeys({{"key", "blue"}});
+  test.Send(statement_kind::kWrite);
+  test.Run(milliseconds(100));
+  EXPECT_EQ(test.ran, std::vector<std::string>{"s1"});
+  first.paused = false;
+  first.unanswered.clear();
+  first.host.OnAnswer({.session = former, .signature = "s1"});
+  test.Reply(first);
+  test.Run(milliseconds(100));
+  ASSERT_EQ(test.answers.size(), 2U);
+  EXPECT_EQ(test.answers[0].signature, "s1");
+  EXPECT_EQ(test.answers[1].signature, "s2");
+  EXPECT_EQ(test.ran, (std::vector<std::string>{"s1", "s2"}));
+  EXPECT_EQ(test.HostedOrganisations(), std::vector<std::string>{"blue"});
+}
+
+// A transaction can't change its organisation: it is rolled back.
+TEST(HostingTest, TransactionIsAbortedWhenItsKeyPassesOn) {
+  for (const auto& [kind, code] :
+       {std::pair(statement_kind::kWrite, result_code::kTransactionAborted),
+        std::pair(statement_kind::kCommit, result_code::kTransactionAborted),
+        std::pair(statement_kind::kRollback, result_code::kOk)}) {
+    hosted_fleet test;
+    test.Open();
+    test.Send(statement_kind::kBegin);
+    test.Send(statement_kind::kWrite);
+    test.Run(milliseconds(100));
+    test.SetKeys({{"key", "blue"}});
+    test.Send(kind);
+    test.Run(milliseconds(100));
+    ASSERT_EQ(test.answers.size(), 3U);
+    EXPECT_EQ(test.answers[2].code, code);
+    EXPECT_EQ(test.ran, (std::vector<std::string>{"s1", "s2"}));
+    EXPECT_TRUE(test.HostedOrganisations().empty());
+  }
+}
+
 TEST(HostingTest, OutdatedMessagesChangeNothing) {
   hosted_fleet test;
   test.Open();
