Fail a transaction whose key has passed to another organisation

The transaction fails now. The new test failed before: the member got the second write on the former organisation's link.

--- a/src/interactive/broker_statements.cc
+++ b/src/interactive/broker_statements.cc
@@ -89,10 +89,13 @@
 }
 
 // If the session's API key was withdrawn, or no route serves its database any
-// more, refuses the statement, closes the session and returns true. The key is
-// checked at every statement except a rollback, also within a transaction, but
-// not in hosted sessions or on routes with `open` set. A changed or removed
-// route takes effect only after the current transaction has ended.
+// more, refuses the statement, closes the session and returns true. If the key
+// has passed to another organisation, the session runs for that one from now
+// on, and a transaction that has begun at a member fails. The key is checked at
+// every statement except a rollback, also within a transaction, but not in
+// hosted sessions, whose entry VM checks it, or on routes with `open` set. A
+// changed or removed route takes effect only after the current transaction has
+// ended.
 bool session_broker::implementation::RefuseUnauthorised(
     session& of,
     const caller_statement& statement) {
@@ -110,6 +113,14 @@
   }
   const auto owner = configuration_->organisations_by_key.find(of.key);
   if (owner != configuration_->organisations_by_key.end()) {
+    // The link of a transaction belongs to the former organisation.
+    if (owner->second != of.organisation && of.open && of.open->link != 0) {
+      Log(log_level::kInfo,
+          "transaction of session {} is rolled back: its key passed from "
+          "organisation {} to {}; configuration version {}",
+          of.id, of.organisation, owner->second, configuration_->version);
+      FailTransaction(of);
+    }
     of.organisation = owner->second;
     return false;
   }
--- a/src/interactive/broker_test.cc
+++ b/src/interactive/broker_test.cc
@@ -53,6 +53,48 @@
   EXPECT_EQ(test.PendingLink(), 0U);
 }
 
+// Guards against statements that a member runs for the former organisation of a
+// key because the transaction, whose link is that organisation's, was open when
+// the key passed to another one.
+TEST(BrokerTest, TransactionFailsWhenItsKeyPassesToAnotherOrganisation) {
+  broker_harness test;
+  test.Open(1, "strict");
+  test.Send(1, statement_kind::kBegin);
+  test.Send(1, statement_kind::kWrite, "w1");
+  test.AnswerAll();
+  ASSERT_EQ(test.LastAnswer(1).state, transaction_state::kOpen);
+  test.configuration().organisations_by_key["key-red"] = "blue";
+  test.Configure();
+  test.Send(1, statement_kind::kWrite, "w2");
+  test.AnswerAll();
+  EXPECT_EQ(test.LastAnswer(1).code, result_code::kTransactionAborted);
+  test.Send(1, statement_kind::kRollback);
+  test.Send(1, statement_kind::kWrite, "w3");
+  test.AnswerAll();
+  EXPECT_EQ(test.LastAnswer(1).code, result_code::kOk);
+  for (const auto& [id, link] : test.links()) {
+    for (const member_statement& each : link.all) {
+      EXPECT_NE(each.text, "w2");
+      EXPECT_EQ(each.text == "w3" ? link.organisation : "blue", "blue");
+    }
+  }
+}
+
+// A transaction that no member has begun yet runs for the new organisation.
+TEST(BrokerTest, TransactionWithoutALinkFollowsItsKey) {
+  broker_harness test;
+  test.Open(1, "strict");
+  test.Send(1, statement_kind::kBegin);
+  test.configuration().organisations_by_key["key-red"] = "blue";
+  test.Configure();
+  test.Send(1, statement_kind::kWrite, "w1");
+  test.AnswerAll();
+  EXPECT_EQ(test.LastAnswer(1).code, result_code::kOk);
+  for (const auto& [id, link] : test.links()) {
+    EXPECT_EQ(link.organisation, "blue");
+  }
+}
+
 // Guards against a crash when a route is removed while a statement that uses it
 // waits for a primary.
 TEST(BrokerTest, RouteRemovedWhileAStatementWaits) {
