Refuse statements that have arrived at a session that is closed

Cause: the drain closes sessions with nothing pending, also if a request lies unread in the socket; a VM that is short of processor time reads it late.

Evidence: all requests of a VM that were lost ended at the same moment, 1 s after the drain's time for idle sessions; its event thread had waited for a processor for up to 259 of 300 ms (schedstat, sampled). Ruled out: a blocking call, and a stall of the whole machine.

What has arrived is read before the close and refused as not run, unless an earlier statement has no answer, for which a caller would take the refusal. Two of the three new tests failed before; the third guards that exception.

--- a/src/runtime/line/caller_server.cc
+++ b/src/runtime/line/caller_server.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "src/runtime/line/boot_clock.h"
+#include "src/runtime/line/log_output.h"
 
 namespace tarragondale::runtime {
 
@@ -74,12 +75,14 @@
     if (!from.accepted) {
       return Reject(session, result_code::kStatementMalformed);
     }
+    ++from.unanswered;
     on_event_(interactive::caller_sent{session, std::move(*statement)});
   } else if (std::holds_alternative<platform::session_end>(decoded)) {
     from.connection->Close();
     OnClosed(session);
   } else if (from.accepted) {
     interactive::caller_statement malformed;
+    ++from.unanswered;
     on_event_(interactive::caller_sent{session, std::move(malformed)});
   } else {
     Reject(session, result_code::kStatementMalformed);
@@ -121,8 +124,9 @@
   if (found == callers_.end()) {
     return;
   }
-  found->second.connection->Write(
-      platform::EncodeAnswer(answer, !found->second.accepted));
+  caller& to = found->second;
+  to.unanswered -= to.unanswered > 0 ? 1 : 0;
+  to.connection->Write(platform::EncodeAnswer(answer, !to.accepted));
   if (answer.close) {
     Close(answer.session);
   }
@@ -133,11 +137,39 @@
   if (found == callers_.end()) {
     return;
   }
+  RefuseArrived(found->second);
   found->second.connection->CloseAfterWrites();
   // The broker may be handling an event of this session.
   net::post(context_, [this, session] { OnClosed(session); });
 }
 
+// Refuses the statements that have arrived at a session that is being closed.
+// The session counted as idle, since they have not been read yet; a VM that is
+// short of processor time reads them late. They would otherwise be lost without
+// an answer.
+void caller_server::RefuseArrived(const caller& from) {
+  if (!from.accepted || from.unanswered > 0) {
+    return;
+  }
+  for (const std::string& line : from.connection->TakeArrivedLines()) {
+    const platform::caller_line decoded = platform::DecodeCallerLine(line);
+    if (std::holds_alternative<platform::session_end>(decoded)) {
+      return;
+    }
+    const auto* const statement =
+        std::get_if<interactive::caller_statement>(&decoded);
+    interactive::answer_caller refusal;
+    refusal.code = statement == nullptr ? result_code::kStatementMalformed
+                                        : result_code::kDraining;
+    refusal.reason = "the session is being closed";
+    refusal.close = true;
+    Log(log_level::kInfo, log_part::kSession,
+        "statement {} refused with {}: it arrived as its session was closed",
+        statement == nullptr ? "?" : statement->id, InfoOf(refusal.code).name);
+    from.connection->Write(platform::EncodeAnswer(refusal, false));
+  }
+}
+
 void caller_server::SweepSilent() {
   const time_point now = BootNow();
   std::vector<interactive::session_id> silent;
--- a/src/runtime/line/caller_server.h
+++ b/src/runtime/line/caller_server.h
@@ -29,6 +29,9 @@
 
   void Accept(interactive::session_id session);
   void Answer(const interactive::answer_caller& answer);
+  /// @brief Closes a session. Statements that have arrived and were not read
+  /// yet are refused as not run, unless an earlier one has no answer, for which
+  /// the caller would take the refusal.
   void Close(interactive::session_id session);
 
   size_t connections() const { return callers_.size(); }
@@ -38,6 +41,8 @@
     std::shared_ptr<line_connection> connection;
     bool started = false;   ///< It named a database.
     bool accepted = false;  ///< The broker took the session.
+    /// Statements that the broker has received and not answered.
+    size_t unanswered = 0;
     time_point connected;
   };
 
@@ -45,6 +50,7 @@
   void OnLine(interactive::session_id session, const std::string& line);
   void OnClosed(interactive::session_id session);
   void Reject(interactive::session_id session, result_code code);
+  static void RefuseArrived(const caller& from);
   void SweepSilent();
 
   boost::asio::io_context& context_;
--- /dev/null
+++ b/src/runtime/line/caller_server_test.cc
@@ -0,0 +1,118 @@
+// Tests of sessions that are closed, with callers on loopback.
+#include "src/runtime/line/caller_server.h"
+
+#include <gtest/gtest.h>
+
+#include <boost/asio.hpp>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "src/base/port_lease.h"
+
+namespace tarragondale::runtime {
+namespace {
+
+namespace net = boost::asio;
+using net::ip::tcp;
+
+class CallerServerTest : public testing::Test {
+ protected:
+  void SetUp() override {
+    const tcp::endpoint address(net::ip::address_v4::loopback(), port_.Take());
+    ASSERT_FALSE(server_.Listen("127.0.0.1:" + std::to_string(address.port()))
+                     .has_value());
+    caller_.connect(address);
+    Send("START db key\r\n");
+    RunUntil([&] { return session_ != 0; });
+    server_.Accept(session_);
+    ASSERT_TRUE(Receive().starts_with("READY "));
+  }
+
+  void Send(const std::string& text) { net::write(caller_, net::buffer(text)); }
+
+  // Runs the server for two seconds at most.
+  void RunUntil(const std::function<bool()>& done) {
+    for (int i = 0; i < 200 && !done(); ++i) {
+      context_.run_for(milliseconds(10));
+    }
+    ASSERT_TRUE(done());
+  }
+
+  // What the caller receives until its connection ends or nothing follows.
+  std::string Receive() {
+    std::string text;
+    boost::system::error_code error;
+    caller_.non_blocking(true);
+    for (int i = 0; i < 20; ++i) {
+      context_.run_for(milliseconds(10));
+      char bytes[512];
+      const size_t count = caller_.read_some(net::buffer(bytes), error);
+      text.append(bytes, count);
+      if (error && error != net::error::would_block) {
+        ended_ = true;
+        break;
+      }
+    }
+    caller_.non_blocking(false);
+    return text;
+  }
+
+  port_lease port_;
+  net::io_context context_;
+  interactive::session_id session_ = 0;
+  std::vector<std::string> statements_;  ///< Ids that the server passed on.
+  bool ended_ = false;                   ///< The caller's connection ended.
+  caller_server server_{
+      context_, [this](const interactive::event& event) {
+        if (const auto* opened =
+                std::get_if<interactive::caller_opened>(&event)) {
+          session_ = opened->session;
+        } else if (const auto* sent =
+                       std::get_if<interactive::caller_sent>(&event)) {
+          statements_.push_back(sent->statement.id);
+        }
+      }};
+  tcp::socket caller_{context_};
+};
+
+// Guards against requests that end without an answer during a shutdown: a VM
+// that is short of processor time closes sessions whose requests have arrived
+// but were not read yet.
+TEST_F(CallerServerTest, ArrivedStatementsAreRefusedWhenTheSessionIsClosed) {
+  Send("QUERY a READ 1\r\nQUERY b READ 2\r\n");
+  server_.Close(session_);
+  const std::string received = Receive();
+  EXPECT_TRUE(received.starts_with("ERR BUSY ")) << received;
+  EXPECT_NE(received.find("ERR BUSY ", 1), std::string::npos) << received;
+  EXPECT_TRUE(received.ends_with("READY I -\r\n")) << received;
+  EXPECT_TRUE(ended_);
+  EXPECT_TRUE(statements_.empty());
+}
+
+// Guards against a caller that takes a refusal for the answer to an earlier
+// statement, which may have run.
+TEST_F(CallerServerTest, NothingIsRefusedBehindAnUnansweredStatement) {
+  Send("QUERY a WRITE 1\r\n");
+  RunUntil([&] { return !statements_.empty(); });
+  Send("QUERY b READ 2\r\n");
+  server_.Close(session_);
+  EXPECT_EQ(Receive(), "");
+  EXPECT_TRUE(ended_);
+  EXPECT_EQ(statements_, std::vector<std::string>{"a"});
+}
+
+// The last answer of a session arrives, though another statement was sent.
+TEST_F(CallerServerTest, ClosingAnswerComesBeforeTheRefusal) {
+  Send("QUERY a READ 1\r\n");
+  RunUntil([&] { return !statements_.empty(); });
+  Send("QUERY b READ 2\r\n");
+  server_.Answer({.session = session_, .signature = "s", .close = true});
+  const std::string received = Receive();
+  EXPECT_TRUE(received.starts_with("DONE s\r\nREADY I -\r\nERR BUSY "))
+      << received;
+  EXPECT_TRUE(ended_);
+}
+
+}  // namespace
+}  // namespace tarragondale::runtime
--- a/src/runtime/line/connection.cc
+++ b/src/runtime/line/connection.cc
@@ -17,6 +17,8 @@
 // A peer that does not acknowledge for this long is gone. Longer than a lost
 // packet takes to be sent again.
 constexpr int kUserTimeoutMs = 4'000;
+// Bounds the time that a caller who never stops sending can take.
+constexpr size_t kMaxTakenLines = 256;
 using user_timeout =
     net::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 
@@ -80,6 +82,22 @@
   }
 }
 
+std::vector<std::string> line_connection::TakeArrivedLines() {
+  std::vector<std::string> lines;
+  std::array<char, kReadBytes> arrived;
+  boost::system::error_code error;
+  socket_.non_blocking(true, error);
+  while (connected_ && !closed_ && !error && lines.size() < kMaxTakenLines) {
+    // Not `input_`, which the pending read may have filled.
+    const size_t count = socket_.read_some(net::buffer(arrived), error);
+    reader_.Append({arrived.data(), count});
+    while (auto line = reader_.Next()) {
+      lines.push_back(std::move(*line));
+    }
+  }
+  return lines;
+}
+
 void line_connection::CloseAfterWrites() {
   closing_ = true;
   handlers_ = {};
--- a/src/runtime/line/connection.h
+++ b/src/runtime/line/connection.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "platform/platform.h"
 #include "tarragondale/base.h"
@@ -41,6 +42,10 @@
 
   void Write(std::string text);
 
+  /// @brief Reads what has arrived, without waiting, and returns its complete
+  /// lines, which no handler gets. For a connection that is about to be closed.
+  std::vector<std::string> TakeArrivedLines();
+
   /// @brief Closes after all text was written. No handler is called any more.
   void CloseAfterWrites();
 
