--- a/src/runtime/line/caller_server_test.cc
+++ b/src/runtime/line/caller_server_test.cc
@@ -6,6 +6,7 @@
 #include <boost/asio.hpp>
 #include <functional>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "src/base/port_lease.h"
@@ -114,5 +115,24 @@
   EXPECT_TRUE(ended_);
 }
 
+// Guards against a close that lasts as long as its caller sends.
+TEST_F(CallerServerTest, ClosingReadsNoEndlessLine) {
+  constexpr size_t kChunks = 1'024;
+  size_t sent = 0;
+  std::thread sender([&] {
+    const std::string chunk(64 * 1'024, 'x');
+    boost::system::error_code error;
+    for (; sent < kChunks && !error; ++sent) {
+      net::write(caller_, net::buffer(chunk), error);
+    }
+  });
+  // Until the buffers of both sockets are full.
+  std::this_thread::sleep_for(milliseconds(200));
+  server_.Close(session_);
+  context_.run_for(milliseconds(10));
+  sender.join();
+  EXPECT_LT(sent, kChunks);
+}
+
 }  // namespace
 }  // namespace tarragondale::runtime
--- a/src/runtime/line/connection.cc
+++ b/src/runtime/line/connection.cc
@@ -17,7 +17,8 @@
 // A peer that does not acknowledge for this long is gone. Longer than a lost
 // packet takes to be sent again.
 constexpr int kUserTimeoutMs = 4'000;
-// Bounds the time that a caller who never stops sending can take.
+// With the longest line, bounds what is read from a caller that does not stop
+// sending.
 constexpr size_t kMaxTakenLines = 256;
 using user_timeout =
     net::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
@@ -87,7 +88,8 @@
   std::array<char, kReadBytes> arrived;
   boost::system::error_code error;
   socket_.non_blocking(true, error);
-  while (connected_ && !closed_ && !error && lines.size() < kMaxTakenLines) {
+  while (connected_ && !closed_ && !error && lines.size() < kMaxTakenLines &&
+         !reader_.overflowed()) {
     // Not `input_`, which the pending read may have filled.
     const size_t count = socket_.read_some(net::buffer(arrived), error);
     reader_.Append({arrived.data(), count});
