Answer a step that waits for a majority when its connection is lost

Cause: a statement of an interactive transaction waits for a majority (kEvidence) while its connection is idle. Loss of that connection erased the transaction, but answered its step only if the step was queued. At the step's deadline FailEvidence hands it to EndTransaction, which finds no transaction and returns without an answer, so the first entry of `deadlines_` stays and ExpireDeadlines handles it for ever.

Why it works: whoever erases the entry of a transaction now answers its step; Lose was the only place that did not. A step in an erased transaction can have no effect, so the refusal is true, and the caller learns it at once.

--- a/src/pool/member_gateway.cc
+++ b/src/pool/member_gateway.cc
@@ -638,12 +638,11 @@
       const pending_ptr step = entry->second.step;
       Bury(entry, kTransactionAborted);
       transactions_.erase(entry);
-      if (step->stage == request_stage::kQueued) {
-        std::erase(steps_, step);
-        Answer(step, Refused(kTransactionAborted,
-                             "the connection was lost; the transaction is "
-                             "rolled back"));
-      }
+      std::erase(steps_, step);
+      evidence_.Remove(step);
+      Answer(step, Refused(kTransactionAborted,
+                           "the connection was lost; the transaction is "
+                           "rolled back"));
     }
   }
   if (close) {
--- a/src/pool/member_gateway.h
+++ b/src/pool/member_gateway.h
@@ -57,7 +57,10 @@
     std::string vm;  ///< Entry that began it.
     time_point begun;
     time_point last_used;
-    pending_ptr step;  ///< Last step; the next one waits for its answer.
+    // Last step; the next one waits for its answer. It is answered when this
+    // entry is erased: the deadline of a step that waits for a majority is
+    // handled through the entry.
+    pending_ptr step;
   };
   using key_name = std::pair<std::string, std::string>;
 
--- a/src/pool/pool_test.cc
+++ b/src/pool/pool_test.cc
@@ -234,6 +234,33 @@
   EXPECT_TRUE(f.member.faults.empty());
 }
 
+// Guards against a gateway that hangs: the deadline of a step that waited for
+// a majority after its connection was lost was handled without an end.
+TEST(GatewayTransactionTest, LossEndsAStepThatWaitsForAMajority) {
+  gateway_fixture f;
+  const auto begin = f.TransactionStep(kBegin, {});
+  EXPECT_EQ(f.Ask(begin).code, kOk);
+  f.member.replica_position = 9;
+  const request_id step =
+      f.Send(f.TransactionStep(kContinue, begin.id, {"W t"}));
+  f.RunFor(milliseconds(300));
+  EXPECT_FALSE(f.answers.contains(step));
+  const auto pinned = std::find_if(
+      f.member.sessions.begin(), f.member.sessions.end(),
+      [](const auto& entry) { return entry.second.in_transaction; });
+  ASSERT_NE(pinned, f.member.sessions.end());
+  f.Cut(pinned->first, false);
+  ASSERT_EQ(f.CodeOf(step), kTransactionAborted);
+  f.RunFor(seconds(6));  // Past the deadline of the step.
+  EXPECT_EQ(f.Ask(f.TransactionStep(kCommit, begin.id)).code,
+            kTransactionAborted);
+  f.member.replica_position = 1'000'000;
+  EXPECT_EQ(f.Ask(f.Write("w")).code, kOk);
+  EXPECT_EQ(f.member.executed.count("t"), 0U);
+  EXPECT_EQ(f.answered_twice, 0);
+  EXPECT_TRUE(f.member.faults.empty());
+}
+
 // Guards against one organisation that takes the share of another.
 TEST(GatewayQueueTest, LoadOfOneOrganisationDoesNotDelayAnother) {
   gateway_fixture f;
