--- a/include/tarragondale/interactive.h
+++ b/include/tarragondale/interactive.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -37,6 +38,9 @@
 };
 std::string_view FreshnessName(freshness value);
 
+/// @brief Regions that a route or an organisation is restricted to; empty: all.
+using region_set = std::set<std::string, std::less<>>;
+
 /// @brief Maps a database that callers connect to onto a database group.
 struct route {
   std::string name;
@@ -46,8 +50,9 @@
   milliseconds statement_timeout{1'000};
   milliseconds latency_goal{500};  ///< For a complete operation.
   milliseconds max_staleness{0};
-  int priority = 0;   ///< 0 is the highest.
-  bool open = false;  ///< Accepts callers without an API key.
+  int priority = 0;            ///< 0 is the highest.
+  bool open = false;           ///< Accepts callers without an API key.
+  region_set allowed_regions;  ///< Of the members that run its statements.
 
   bool operator==(const route&) const = default;
 };
@@ -57,6 +62,9 @@
   int connections = 1;  ///< Cap for one member, over all VMs.
   /// Replicas that must hold a commit before it is acknowledged.
   int synchronous_replicas = 0;
+  /// Statements per second that one cold member may receive, over all VMs; 0:
+  /// no limit.
+  double cold_rate = 0;
 
   bool operator==(const group_limits&) const = default;
 };
@@ -64,8 +72,9 @@
 /// @brief An organisation and its rate limit, shared by all VMs.
 struct organisation {
   std::string name;
-  double rate = 0;   ///< Operations per second; 0: no limit.
-  double burst = 0;  ///< Operations.
+  double rate = 0;             ///< Operations per second; 0: no limit.
+  double burst = 0;            ///< Operations.
+  region_set allowed_regions;  ///< Of the members that run its statements.
 
   bool operator==(const organisation&) const = default;
 };
@@ -93,6 +102,8 @@
   bool draining = false;
   bool claims_primary = false;  ///< Its own view of its role; may be wrong.
   int64_t started_ms = 0;       ///< Unix start time; identifies incarnations.
+  /// How much longer it is slow after its start, when it reported this.
+  milliseconds cold_left{0};
 
   bool operator==(const member_record&) const = default;
 };
