Take evacuated availability zones from the store

The keys under op/evacuate/ come with loads, changes and copies of the store, like all keys. The published members carry what they say, so a VM knows it before it serves callers.

--- a/include/tarragondale/interactive.h
+++ b/include/tarragondale/interactive.h
@@ -40,6 +40,7 @@
 
 /// @brief Regions that a route or an organisation is restricted to; empty: all.
 using region_set = std::set<std::string, std::less<>>;
+using zone_set = std::set<std::string, std::less<>>;
 
 /// @brief Maps a database that callers connect to onto a database group.
 struct route {
@@ -104,6 +105,8 @@
   int64_t started_ms = 0;       ///< Unix start time; identifies incarnations.
   /// How much longer it is slow after its start, when it reported this.
   milliseconds cold_left{0};
+  /// Operators are emptying its availability zone.
+  bool evacuated = false;
 
   bool operator==(const member_record&) const = default;
 };
@@ -245,6 +248,16 @@
   /// A primary that has been draining or unlisted for longer than this gets
   /// statements only for transactions that are already open on it.
   duration member_drain_timeout = milliseconds(5'000);
+  /// A primary in an evacuated availability zone gets statements for this long
+  /// after this VM learned of the evacuation, unless it is replaced sooner.
+  /// Operators are promised that nothing arrives later than 5 s after the store
+  /// acknowledged their request. A VM whose watch of the store is silent learns
+  /// of it from other VMs up to 1.5 s later; the rest is left for connections
+  /// that deliver late.
+  duration evacuation_limit = milliseconds(3'000);
+  /// After the end of an evacuation, the share of new statements that may run
+  /// on members of the zone grows linearly for this long.
+  duration evacuation_return = seconds(5);
   /// Fraction of its timeout for which a statement may wait before it is sent
   /// to a member.
   double queue_timeout_fraction = 0.75;
@@ -324,6 +337,8 @@
 };
 struct members_changed {
   member_directory_ptr value;
+  /// All evacuated availability zones, also those without listed members.
+  zone_set evacuated_zones = {};
 };
 struct primary_leases_changed {
   std::map<std::string, primary_lease, std::less<>> by_group;
@@ -471,6 +486,14 @@
   double demand_per_s = 0;  ///< Current demand.
 };
 
+/// @brief An availability zone that is or was evacuated.
+struct zone_evacuation {
+  /// When this VM learned of it; empty: the evacuation has ended.
+  std::optional<time_point> since;
+  bool complete = false;  ///< Nothing of this VM runs or may run there.
+  size_t work = 0;        ///< Transactions and statements at its members.
+};
+
 struct broker_metrics {
   uint64_t sessions = 0;
   uint64_t statements = 0;
@@ -528,6 +551,9 @@
   /// least `epoch`.
   size_t CountPrimaryWork(std::string_view group, int64_t epoch) const;
 
+  /// @brief The availability zones that are or were evacuated.
+  std::map<std::string, zone_evacuation, std::less<>> Evacuations() const;
+
   /// @brief Aborts all transactions and statements on the primary of `group`,
   /// unless the primary's epoch is at least `epoch`. Until the next
   /// `primary_leases_changed` for the group, no primary is known. Commits in
--- a/src/runtime/line/fleet_duty.cc
+++ b/src/runtime/line/fleet_duty.cc
@@ -120,9 +120,10 @@
                     leadership::configuration_snapshot_changed{value});
               },
           .members =
-              [this](const interactive::member_directory_ptr& value) {
-                handlers_.broker(interactive::members_changed{value});
-                handlers_.primary_manager(leadership::members_changed{value});
+              [this](const interactive::members_changed& changed) {
+                handlers_.broker(changed);
+                handlers_.primary_manager(
+                    leadership::members_changed{changed.value});
               },
           .fleet =
               [this](leadership::event event) {
--- a/src/runtime/line/store_view.cc
+++ b/src/runtime/line/store_view.cc
@@ -14,6 +14,7 @@
                       std::string_view source) {
   loaded_ = true;
   listing_.Load(items);
+  evacuated_.Load(items);
   leadership::items_loaded fleet;
   fleet.revision = revision;
   for (const store::keyspace::item& item : items) {
@@ -23,7 +24,7 @@
       SeeConfiguration(item.value, source);
     }
   }
-  PublishMembers();
+  PublishMembers(source);
   handlers_.fleet(std::move(fleet));
 }
 
@@ -38,16 +39,20 @@
     if (!change.removed && change.now.key == platform::kConfigurationKey) {
       SeeConfiguration(change.now.value, source);
     }
-    members_changed = listing_.Apply(change) || members_changed;
+    members_changed =
+        listing_.Apply(change) || evacuated_.Apply(change) || members_changed;
   }
   if (members_changed) {
-    PublishMembers();
+    PublishMembers(source);
   }
 }
 
-void store_view::PublishMembers() {
-  handlers_.members(std::make_shared<const interactive::member_directory>(
-      listing_.members()));
+void store_view::PublishMembers(std::string_view source) {
+  auto members =
+      std::make_shared<interactive::member_directory>(listing_.members());
+  evacuated_.Mark(*members);
+  evacuated_.LogChanges(*members, source);
+  handlers_.members({std::move(members), evacuated_.zones()});
 }
 
 // An older version is never applied, wherever it comes from.
--- a/src/runtime/line/store_view.h
+++ b/src/runtime/line/store_view.h
@@ -1,4 +1,5 @@
-// What the store's keys say: the configuration and the list of members.
+// What the store's keys say: the configuration, the list of members and the
+// evacuated availability zones.
 #ifndef TARRAGONDALE_SRC_RUNTIME_LINE_STORE_VIEW_H_
 #define TARRAGONDALE_SRC_RUNTIME_LINE_STORE_VIEW_H_
 
@@ -6,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "src/runtime/line/evacuated_zones.h"
 #include "src/runtime/line/member_listing.h"
 #include "tarragondale/interactive.h"
 #include "tarragondale/leadership.h"
@@ -19,7 +21,8 @@
   struct handlers {
     /// A newer configuration is in force.
     std::function<void(interactive::configuration_snapshot_ptr)> configuration;
-    std::function<void(interactive::member_directory_ptr)> members;
+    /// Members or evacuated zones changed.
+    std::function<void(const interactive::members_changed&)> members;
     /// Keys of the fleet itself.
     std::function<void(leadership::event)> fleet;
   };
@@ -45,11 +48,12 @@
 
  private:
   void SeeConfiguration(const std::string& value, std::string_view source);
-  void PublishMembers();
+  void PublishMembers(std::string_view source);
 
   const handlers handlers_;
   bool loaded_ = false;
   member_listing listing_;
+  evacuated_zones evacuated_;
   interactive::configuration_snapshot_ptr
       catalogue_;  ///< Its version never falls.
 };
