Send nothing new to members in evacuated availability zones

Replicas get nothing at once, the primary nothing once it is replaced or after evacuation_limit. What only such members could run is refused at once as not run.

--- a/src/interactive/broker.cc
+++ b/src/interactive/broker.cc
@@ -50,6 +50,11 @@
   return implementation_->StopPrimaryWork(now, group, epoch);
 }
 
+std::map<std::string, zone_evacuation, std::less<>>
+session_broker::Evacuations() const {
+  return implementation_->Evacuations();
+}
+
 const broker_metrics& session_broker::metrics() const {
   return implementation_->metrics();
 }
@@ -62,6 +67,7 @@
                                                          const event& input) {
   now_ = std::max(now_, now);
   actions_.clear();
+  EnforceEvacuationLimits();
   std::visit([this](const auto& each) { On(each); }, input);
   if (dispatch_needed_) {
     DispatchWaiting();
@@ -70,7 +76,8 @@
 }
 
 std::optional<time_point> session_broker::implementation::NextDeadline() const {
-  return std::min(next_sweep_, next_slow_sweep_);
+  const time_point sweep = std::min(next_sweep_, next_slow_sweep_);
+  return std::min(sweep, evacuations_.NextLimit().value_or(sweep));
 }
 
 member_health session_broker::implementation::HealthOf(
@@ -241,6 +248,7 @@
   for (const link_id id : pool_.SetDirectory(*event.value, now_)) {
     FailLink(id, "the member was started again");
   }
+  ApplyEvacuations(event);
   dispatch_needed_ = true;
 }
 
@@ -319,6 +327,7 @@
   if (now_ >= next_slow_sweep_) {
     SweepSessions();
     SweepLinks();
+    SweepEvacuations();
     if (draining_since_) {
       SweepDrain();
     }
--- a/src/interactive/broker_dispatch.cc
+++ b/src/interactive/broker_dispatch.cc
@@ -52,6 +52,7 @@
   }
   std::vector<candidate> candidates = Candidates(of);
   if (candidates.empty()) {
+    RefuseIfEvacuated(of);
     return false;
   }
   std::stable_sort(
@@ -105,6 +106,7 @@
   if (!queued.primary_only) {
     AddReplicas(of, found);
   }
+  ExcludeEvacuated(of, found);
   return found;
 }
 
--- a/src/interactive/broker_harness.h
+++ b/src/interactive/broker_harness.h
@@ -102,6 +102,9 @@
     }
   }
 
+  /// @brief Advances the virtual time without a tick.
+  void Suspend(duration span) { now_ += span; }
+
   /// @brief The member's side of a link: the statements that the member
   /// received and the session state that they set.
   struct member_link_state {
--- a/src/interactive/broker_implementation.h
+++ b/src/interactive/broker_implementation.h
@@ -13,6 +13,7 @@
 #include <utility>
 #include <vector>
 
+#include "src/interactive/evacuation.h"
 #include "src/interactive/link.h"
 #include "src/interactive/member_pool.h"
 #include "src/interactive/position_history.h"
@@ -25,7 +26,7 @@
 class session_broker::implementation {
  public:
   explicit implementation(broker_options options)
-      : options_(std::move(options)), pool_(options_) {}
+      : options_(std::move(options)), pool_(options_), evacuations_(options_) {}
 
   std::vector<action> Step(time_point now, const event& input);
   std::optional<time_point> NextDeadline() const;
@@ -34,6 +35,7 @@
   std::map<std::string, organisation_usage, std::less<>> Usage(
       time_point now) const;
   size_t CountPrimaryWork(std::string_view group, int64_t epoch) const;
+  std::map<std::string, zone_evacuation, std::less<>> Evacuations() const;
   std::vector<action> StopPrimaryWork(time_point now,
                                       std::string_view group,
                                       int64_t epoch);
@@ -143,6 +145,20 @@
   void FinishCheck(const std::string& member,
                    std::optional<member_status> status);
 
+  // --- Evacuated availability zones (broker_evacuation.cc) ---
+  void ApplyEvacuations(const members_changed& event);
+  void EnforceEvacuationLimits();
+  void SweepEvacuations();
+  void EndEvacuatedWork(link_id id, bool usable, bool past_limit);
+  void LogCompletedEvacuations();
+  bool IsEvacuated(const member& of) const;
+  bool AreAllEvacuated(std::string_view group) const;
+  bool MayUseEvacuated(const member& of) const;
+  bool HasReplicaElsewhere(const session& of) const;
+  void ExcludeEvacuated(session& of, std::vector<candidate>& from);
+  void RefuseIfEvacuated(session& of);
+  size_t CountWork(std::string_view availability_zone) const;
+
   // --- Timers (broker_timers.cc) ---
   void SweepStatements();
   void SweepSessions();
@@ -169,6 +185,7 @@
 
   broker_options options_;
   member_pool pool_;
+  evacuation_state evacuations_;
   time_point now_;
   std::vector<action> actions_;
   broker_metrics metrics_;
--- a/src/interactive/broker_links.cc
+++ b/src/interactive/broker_links.cc
@@ -441,6 +441,7 @@
     int64_t epoch) {
   now_ = std::max(now_, now);
   actions_.clear();
+  EnforceEvacuationLimits();
   const auto lease = primary_leases_.find(group);
   if (lease != primary_leases_.end() && lease->second.epoch < epoch) {
     const std::string former = lease->second.member;
--- a/src/interactive/broker_statements.cc
+++ b/src/interactive/broker_statements.cc
@@ -315,6 +315,12 @@
   }
   if (on->begun) {
     on->begun = false;
+    if (evacuations_.IsPastLimit(
+            pool_.Find(on->member)->record.availability_zone, now_)) {
+      // Nothing more may be sent there; the closed link ends the transaction.
+      on->owner = 0;
+      return FailLink(held, "the member's availability zone is evacuated");
+    }
     Send(*on, {{.what = member_statement::step::kRollback}});
   }
   ReleaseLink(*on);
