Replace primaries in evacuated availability zones

As a planned change, and only by members elsewhere; a failover avoids the zones, too. Commits that only the old primary holds are waited for longer than those of a leaving one, since an evacuated primary keeps running.

--- a/src/leadership/primary_manager_handover.cc
+++ b/src/leadership/primary_manager_handover.cc
@@ -325,7 +325,7 @@
   }
   for (const interactive::member_record* each : MembersOf(group)) {
     const bool eligible = each->id != move.from && !each->draining &&
-                          !move.refused.contains(each->id);
+                          !each->evacuated && !move.refused.contains(each->id);
     found.candidates += eligible ? 1 : 0;
     const auto known = move.statuses.find(each->id);
     if (known == move.statuses.end() || known->second.at < move.state_since) {
@@ -376,7 +376,7 @@
     return true;
   }
   if (waited > options_.choice_timeout &&
-      !move.refused.contains(found.leader)) {
+      !move.refused.contains(found.leader) && !IsEvacuated(found.leader)) {
     Promote(group, move, found.leader, found.leader_term,
             "the member is primary, but not all members answer");
     return true;
@@ -404,10 +404,13 @@
     // the members, so any one of them may be the only one that still has it.
     return false;
   }
-  const bool complete =
-      found.answered == found.candidates && (found.from || !move.planned);
   const bool caught_up =
       !found.from || found.best->received >= found.from->received;
+  if ((!found.from || !caught_up) && MustCatchUp(group, move, waited)) {
+    return false;
+  }
+  const bool complete =
+      found.answered == found.candidates && (found.from || !move.planned);
   return (complete && caught_up) ||
          waited >
              (found.from ? options_.catch_up_timeout : options_.choice_timeout);
@@ -429,7 +432,7 @@
     Fire(group, move, handover_event::kRestored, "it is still primary");
     return true;
   }
-  if (waited > options_.choice_timeout) {
+  if (waited > options_.choice_timeout && !IsEvacuated(move.from)) {
     Promote(group, move, move.from, found.from->term,
             "it is still primary, but not all members answer");
     return true;
@@ -461,7 +464,9 @@
   if (waited <= options_.restore_timeout) {
     return;
   }
-  if (!found.from || !found.from->primary) {
+  if (!found.from || !found.from->primary || IsEvacuated(move.from)) {
+    // An evacuated primary stays unused until a member elsewhere answers or
+    // the evacuation ends.
     move.refused.clear();
   } else if (move.maybe_promoted) {
     Promote(group, move, move.from, found.from->term,
--- a/src/leadership/primary_manager_implementation.h
+++ b/src/leadership/primary_manager_implementation.h
@@ -282,6 +282,15 @@
   std::optional<std::string> UndecidedPrimary() const;
   void ResignIfUndecided();
 
+  // --- Evacuated availability zones (primary_manager_evacuation.cc) ---
+  bool IsEvacuated(const std::string& member) const;
+  std::optional<std::string> EvacuationToReplace(
+      const std::string& group,
+      const primary_record& record) const;
+  bool MustCatchUp(const std::string& group,
+                   const handover& move,
+                   duration waited) const;
+
   // --- Replacement of primaries (primary_manager_handover.cc) ---
   void WatchPrimaries();
   void CreateRecord(const std::string& group);
--- a/src/leadership/primary_manager_simulation.h
+++ b/src/leadership/primary_manager_simulation.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -44,6 +45,10 @@
     size_t fleet_size = 0;
     size_t smallest_fleet = 0;
     time_point next_digest;
+    /// Members that were evacuated in the directory published last.
+    std::set<std::string> evacuated_members;
+    /// Member whose promotion this VM asked for, until its handover ends.
+    std::string promoting;
     struct digest_exchange {
       uint64_t last_received = 0;
       uint64_t last_sent = 0;
@@ -58,6 +63,7 @@
     bool listed = true;
     bool draining = false;
     interactive::member_status status;
+    std::string zone = "z";
   };
 
   /// @param relaying Number of VMs that are relays; see `relays`.
@@ -71,7 +77,7 @@
       NotifyWatchers(changed, removed);
     };
     for (const char* id : {"a", "b", "c"}) {
-      members_[id] = {id, true, true, false, {id[0] == 'a', 1, {1, 100}}};
+      members_[id] = {id, true, true, false, {id[0] == 'a', 1, {1, 100}}, "z"};
     }
     primary_ = "a";
     for (int i = 0; i < vms; ++i) {
@@ -186,6 +192,32 @@
       vms_to_reload_.insert(each->name);
     }
   }
+  /// @brief Requests or takes back the evacuation of a zone of members. Each VM
+  /// learns of it after a random time of at most `slowest`.
+  void SetEvacuated(const std::string& zone,
+                    bool evacuated,
+                    duration slowest = milliseconds(20)) {
+    if (evacuated) {
+      evacuated_zones_.insert(zone);
+    } else {
+      evacuated_zones_.erase(zone);
+    }
+    for (const auto& each : vms_) {
+      const auto delay = static_cast<int64_t>(
+          RandomIndex(static_cast<size_t>(ToMs(slowest)) + 1));
+      RunAfter(milliseconds(delay), [this, &to = *each] {
+        if (to.alive) {
+          PublishMembers(to);
+        }
+      });
+    }
+  }
+  bool IsEvacuated(const std::string& id) const {
+    return evacuated_zones_.contains(members_.at(id).zone);
+  }
+  const std::set<std::string>& evacuated_zones() const {
+    return evacuated_zones_;
+  }
   void PublishMembers() {
     for (const auto& each : vms_) {
       PublishMembers(*each);
@@ -356,6 +388,14 @@
   void Perform(vm& machine, const promote_member& action) {
     ++promotion_calls_;
     last_promoting_vm_ = &machine;
+    // Only a promotion whose result is unknown is repeated during an evacuation
+    // that began after it.
+    if (machine.evacuated_members.contains(action.member) &&
+        machine.promoting != action.member) {
+      violations_.push_back(machine.name + " promotes evacuated member " +
+                            action.member);
+    }
+    machine.promoting = action.member;
     if (promotion_delay > duration(0)) {
       return RunAfter(promotion_delay, [this, &machine, action] {
         ArriveAtPlatform(machine, action);
@@ -555,8 +595,16 @@
     auto directory = std::make_shared<interactive::member_directory>();
     for (const auto& [id, each] : members_) {
       if (each.listed) {
-        (*directory)[id] = {id, "g",           "127.0.0.1:1",       "z",
-                            2,  each.draining, each.status.primary, 1};
+        interactive::member_record& record = (*directory)[id];
+        record = {id, "g",           "127.0.0.1:1",       each.zone,
+                  2,  each.draining, each.status.primary, 1};
+        record.evacuated = IsEvacuated(id);
+      }
+    }
+    to.evacuated_members.clear();
+    for (const auto& [id, record] : *directory) {
+      if (record.evacuated) {
+        to.evacuated_members.insert(id);
       }
     }
     Step(to, members_changed{directory});
@@ -597,6 +645,10 @@
   // No VM may hold a primary lease for a member that is not the primary.
   void CheckInvariant() {
     for (const auto& each : vms_) {
+      if (!each->promoting.empty() &&
+          !(each->alive && each->manager->Groups()["g"].replacing)) {
+        each->promoting.clear();
+      }
       if (HoldsPrimaryLease(*each) &&
           each->primary_leases.at("g").member != primary_) {
         violations_.push_back(each->name + " holds a lease for " +
@@ -617,6 +669,7 @@
   std::multimap<time_point, std::function<void()>> scheduled_tasks_;
   std::vector<std::unique_ptr<vm>> vms_;
   std::map<std::string, member> members_;
+  std::set<std::string> evacuated_zones_;
   std::map<std::string, time_point> failing_since_;
   std::string primary_;
   int64_t term_ = 1;
--- a/src/leadership/primary_manager_suspicion.cc
+++ b/src/leadership/primary_manager_suspicion.cc
@@ -31,6 +31,10 @@
         "the primary is unreachable from {} VMs and reachable from {}",
         counts.failing, counts.reaching);
   }
+  if (auto reason = EvacuationToReplace(group, record)) {
+    planned = true;
+    return reason;
+  }
   const auto unlisted = unlisted_since_.find(record.member);
   if (member == members_->end() && unlisted != unlisted_since_.end() &&
       now_ - unlisted->second > options_.unlisted_timeout) {
--- a/src/leadership/primary_manager_test.cc
+++ b/src/leadership/primary_manager_test.cc
@@ -794,9 +794,31 @@
   test.store_up = up;
 }
 
+// Requests the evacuation of the zone of one member, or takes it back.
+void ToggleEvacuation(primary_manager_simulation& test) {
+  const std::string id(1, static_cast<char>('a' + test.RandomIndex(3)));
+  test.SetEvacuated(test.members().at(id).zone, !test.IsEvacuated(id),
+                    seconds(2));
+}
+
+// With all faults over, the primary must be outside evacuated zones if any
+// member is. Ends the evacuations, after which all VMs have to recover.
+void CheckEvacuations(primary_manager_simulation& test) {
+  const bool elsewhere = std::any_of(
+      test.members().begin(), test.members().end(),
+      [&](const auto& each) { return !test.IsEvacuated(each.first); });
+  EXPECT_FALSE(elsewhere && test.IsEvacuated(test.primary()));
+  const std::set<std::string> zones = test.evacuated_zones();
+  for (const std::string& zone : zones) {
+    test.SetEvacuated(zone, false);
+  }
+  test.Run(seconds(10));
+}
+
 void RunFaults(uint64_t seed,
                primary_manager_simulation& test,
-               bool restores = false) {
+               bool restores = false,
+               bool evacuates = false) {
   SCOPED_TRACE(seed);
   test.Run(seconds(static_cast<int64_t>(2 + test.RandomIndex(15))));
   for (int round = 0; round < 25; ++round) {
@@ -805,6 +827,9 @@
     if (restores && test.RandomBool(0.25)) {
       SaveOrRestore(test);
     }
+    if (evacuates && test.RandomBool(0.3)) {
+      ToggleEvacuation(test);
+    }
     switch (test.RandomIndex(15)) {
       case 0:
         test.KillMember(id);
@@ -880,6 +905,9 @@
     }
   }
   test.Run(seconds(25));
+  if (evacuates) {
+    CheckEvacuations(test);
+  }
   EXPECT_TRUE(test.AllVmsHoldLease());
   EXPECT_EQ(test.violations(), std::vector<std::string>());
 }
@@ -912,6 +940,20 @@
   }
 }
 
+// Evacuates the members' zones between the same faults, several at once, and
+// takes that back. VMs learn of it up to two seconds apart. A member must not
+// be promoted by a VM that knows of its evacuation.
+TEST_P(PrimaryManagerFaultsTest, EvacuatedZonesAreAvoidedAndRecover) {
+  for (uint64_t i = 0; i < kSeedsPerTest; ++i) {
+    const uint64_t seed = GetParam() + i * kTests;
+    primary_manager_simulation test(seed, 3 + static_cast<int>(seed % 5));
+    test.members().at("b").zone = "z-b";
+    test.members().at("c").zone = seed % 2 == 0 ? "z-c" : "z-b";
+    test.PublishMembers();
+    RunFaults(seed, test, seed % 3 == 0, true);
+  }
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds,
                          PrimaryManagerFaultsTest,
                          testing::Range<uint64_t>(1, kTests + 1));
