--- a/src/interactive/evacuation_test.cc
+++ b/src/interactive/evacuation_test.cc
@@ -242,6 +242,9 @@
   test_.Send(2, kCommit);
   test_.AnswerAll();
   EXPECT_EQ(test_.LastAnswer(2).code, result_code::kOk);
+  test_.GrantRight("", 2);
+  test_.Send(1, kWrite, "w2");
+  EXPECT_EQ(test_.LastAnswer(1).code, result_code::kDatabaseUnavailable);
 }
 
 // Guards against many statements that one caller has sent ahead and that are
--- a/src/runtime/line/line_daemon.cc
+++ b/src/runtime/line/line_daemon.cc
@@ -14,6 +14,7 @@
 #include "platform/platform.h"
 #include "src/runtime/line/boot_clock.h"
 #include "src/runtime/line/caller_server.h"
+#include "src/runtime/line/evacuation_metrics.h"
 #include "src/runtime/line/fleet_duty.h"
 #include "src/runtime/line/hosting_duty.h"
 #include "src/runtime/line/http_channel.h"
@@ -426,6 +427,7 @@
                  {{"code", std::string(InfoOf(code).name)}})
           .Set(static_cast<int64_t>(count));
     }
+    SetEvacuationMetrics(broker_, registry_);
     return registry_.PrometheusText();
   }
 
