--- a/src/interactive/broker_evacuation.cc
+++ b/src/interactive/broker_evacuation.cc
@@ -133,14 +133,7 @@
     if (!zone.since) {
       continue;
     }
-    const bool in_use = std::any_of(
-        primary_leases_.begin(), primary_leases_.end(), [&](const auto& each) {
-          const member* const primary = pool_.Find(each.second.member);
-          return primary != nullptr &&
-                 primary->record.availability_zone == name &&
-                 MayUseEvacuated(*primary);
-        });
-    const bool complete = !in_use && CountWork(name) == 0;
+    const bool complete = !HasUsedPrimary(name) && CountWork(name) == 0;
     if (complete == zone.complete) {
       continue;
     }
@@ -151,6 +144,17 @@
   }
 }
 
+bool session_broker::implementation::HasUsedPrimary(
+    std::string_view availability_zone) const {
+  return std::any_of(
+      primary_leases_.begin(), primary_leases_.end(), [&](const auto& each) {
+        const member* const primary = pool_.Find(each.second.member);
+        return primary != nullptr &&
+               primary->record.availability_zone == availability_zone &&
+               MayUseEvacuated(*primary);
+      });
+}
+
 bool session_broker::implementation::IsEvacuated(const member& of) const {
   return evacuations_.IsEvacuated(of.record.availability_zone);
 }
--- a/src/interactive/broker_implementation.h
+++ b/src/interactive/broker_implementation.h
@@ -151,6 +151,7 @@
   void SweepEvacuations();
   void EndEvacuatedWork(link_id id, bool usable, bool past_limit);
   void LogCompletedEvacuations();
+  bool HasUsedPrimary(std::string_view availability_zone) const;
   bool IsEvacuated(const member& of) const;
   bool AreAllEvacuated(std::string_view group) const;
   bool MayUseEvacuated(const member& of) const;
