Let three relays watch the store and send its changes to the others

Every relay, and in a fleet up to 16 every VM, watched the store: each change of a key ended all these watches, and each idle watch ended after 1.5 s.

Three relays of different zones watch now. Each other relay gets the changes from the nearest of them at once, and asks for what it lacks when it hears of a newer revision, as followers do. A relay that hears fewer than three others that reach the store watches it. A follower also asks a relay of another zone for changes, since its own one may be slow.

--- a/include/tarragondale/relay.h
+++ b/include/tarragondale/relay.h
@@ -71,6 +71,8 @@
   /// @brief Whether the VM `name` is a relay. For this VM's name, the same as
   /// `IsRelay()`.
   bool IsRelay(std::string_view name) const;
+  /// @brief All relays among the registered VMs.
+  std::vector<vm> Relays() const;
   /// @brief Number of relays that precede this VM in a hash order that all VMs
   /// compute alike. Staggers the work of the relays.
   int Rank() const { return rank_; }
@@ -83,7 +85,7 @@
 
  private:
   const std::string self_;
-  std::set<std::string, std::less<>> relays_;
+  std::map<std::string, vm, std::less<>> relays_;
   std::vector<std::string> preferred_;
   bool registered_ = false;
   int rank_ = 0;
@@ -91,7 +93,7 @@
 
 /// @brief State of a relay, from its last digest. Decides which one to follow.
 struct relay_status {
-  bool watching = false;  ///< It watches the store.
+  bool watching = false;  ///< It gets the store's changes and is not leaving.
   bool reaches_store = false;
   time_point last_heard;
 };
@@ -114,6 +116,46 @@
       const std::map<std::string, relay_status, std::less<>>& statuses) const;
 };
 
+/// @brief Decides which relays watch the store. The others, the fed relays, get
+/// the store's changes from a watching one, so that the number of calls to the
+/// store does not grow with the fleet. Does no I/O.
+///
+/// Load pattern: each change of a key ends the watch of every VM that watches,
+/// and an idle watch ends after a second or two.
+///
+/// Every relay decides by itself from the digests that it heard. A relay that
+/// hears too few others that reach the store watches it, so a VM that is cut
+/// off, and all relays during an outage, watch as if they were alone.
+class watch_plan {
+ public:
+  /// One that watches over a connection that went silent is noticed by the
+  /// others, and one is left if another one fails at the same time.
+  static constexpr size_t kWatchers = 3;
+
+  explicit watch_plan(std::string self) : self_(std::move(self)) {}
+
+  /// @param relays The relays among the registered VMs.
+  void SetRelays(std::vector<vm> relays);
+
+  /// @brief The relays that watch: the first `kWatchers`, in an order that all
+  /// VMs compute alike, of those that reach the store and were heard within
+  /// `relay_selector::kRelayTimeout`. This VM counts as one of these.
+  std::vector<std::string> Watchers(
+      time_point now,
+      const std::map<std::string, relay_status, std::less<>>& statuses) const;
+
+  /// @brief The relays that get the store's changes from this VM, if it is one
+  /// of `watchers`: those that have none nearer.
+  std::vector<std::string> FedBySelf(
+      const std::vector<std::string>& watchers) const;
+
+ private:
+  const vm* Find(std::string_view name) const;
+
+  const std::string self_;
+  std::vector<vm> order_;  ///< Relays; the first ones watch if all are well.
+};
+
 /// @brief Copy of the store's keys at a revision, filled from the store or from
 /// another VM, with the latest changes for followers. The revision never
 /// decreases.
--- a/src/relay/relay_plan.cc
+++ b/src/relay/relay_plan.cc
@@ -58,7 +58,7 @@
         mesh ? members.size()
              : std::min(members.size(), RelaysFor(members.size()));
     for (size_t i = 0; i < count; ++i) {
-      relays_.insert(members[i]->name);
+      relays_.emplace(members[i]->name, *members[i]);
       relays.push_back(members[i]);
     }
   }
@@ -98,6 +98,15 @@
   return relays_.contains(name);
 }
 
+std::vector<vm> relay_plan::Relays() const {
+  std::vector<vm> relays;
+  relays.reserve(relays_.size());
+  for (const auto& [name, relay] : relays_) {
+    relays.push_back(relay);
+  }
+  return relays;
+}
+
 std::optional<std::string> relay_selector::Choose(
     time_point now,
     const std::vector<std::string>& preferred,
--- a/src/runtime/line/fleet_duty.cc
+++ b/src/runtime/line/fleet_duty.cc
@@ -33,6 +33,14 @@
 // How long a VM looks for a relay before it watches the store itself.
 constexpr duration kRelaySearch = milliseconds(700);
 
+// A relay that need not watch the store stops after this time, so that a relay
+// that comes and goes does not stop and start the watches of others.
+constexpr duration kWatchHandover = seconds(2);
+// A VM that follows a relay asks another one this often for changes that it
+// lacks. Short enough that a configuration is in force in time although its
+// relay is slow.
+constexpr duration kOtherRelayInterval = milliseconds(1'500);
+
 // Ages are rounded up: a receiver may take them for no younger than they are.
 int64_t AgeMs(time_point now, time_point then) {
   return ToMs(now - then) + 1;
@@ -77,6 +85,7 @@
 
 void fleet_duty::OnTimer(time_point now) {
   ChooseSource(now);
+  CheckOtherRelay(now);
   if (now >= next_digest_) {
     SendDigests(now);
   }
@@ -130,8 +139,8 @@
               }};
 }
 
-// A relay watches the store. Another VM follows one, or watches the store if it
-// has found none for a while.
+// Some relays watch the store and send its changes to the others. Another VM
+// follows a relay, or watches the store if it has found none for a while.
 void fleet_duty::ChooseSource(time_point now) {
   const bool relayed = !exchange_.relays();
   const bool changed = exchange_.ChooseHome(now);
@@ -152,6 +161,10 @@
     if (!mirror_.paused() && view_.loaded()) {
       mirror_.Pause();
     }
+    fed_ = false;
+    return;
+  }
+  if (IsFed(now)) {
     return;
   }
   if (!mirror_.paused()) {
@@ -168,6 +181,47 @@
   }
 }
 
+// Whether this VM is a relay for which other relays watch the store.
+bool fleet_duty::IsFed(time_point now) {
+  const bool replaceable = exchange_.relays() && view_.loaded() &&
+                           !keeper_.leaving() && !exchange_.MustWatch(now);
+  if (!replaceable) {
+    replaceable_since_.reset();
+  } else if (!replaceable_since_) {
+    replaceable_since_ = now;
+  }
+  const bool fed = replaceable && now - *replaceable_since_ >= kWatchHandover;
+  if (fed != fed_) {
+    fed_ = fed;
+    Log(log_level::kInfo, log_part::kStore, "{} at revision {}.",
+        fed ? "other relays watch the store for this VM"
+            : "this VM watches the store again",
+        store::keyspace::NumberOf(copy_.revision()));
+  }
+  if (fed && !mirror_.paused()) {
+    mirror_.Pause();
+  }
+  return fed;
+}
+
+void fleet_duty::CheckOtherRelay(time_point now) {
+  if (exchange_.home().empty() || now < next_check_) {
+    return;
+  }
+  next_check_ = now + kOtherRelayInterval;
+  const std::string other = exchange_.OtherRelay();
+  if (!other.empty()) {
+    SendTo(other, wire::store_request{copy_.revision()});
+  }
+}
+
+// The watch tells more while there is one.
+void fleet_duty::OnStoreCall(bool answered) {
+  if (mirror_.paused()) {
+    mirror_.SetReachable(answered, "a call was not answered");
+  }
+}
+
 void fleet_duty::OnLoaded(const std::vector<store::keyspace::item>& items,
                           int64_t revision) {
   const int64_t after = copy_.revision();
@@ -226,7 +280,9 @@
 }
 
 void fleet_duty::PushToFollowers(int64_t after, time_point now) {
-  const std::vector<std::string> followers = exchange_.Followers(now);
+  std::vector<std::string> followers = exchange_.Followers(now);
+  const std::vector<std::string> fed = exchange_.FedRelays(now);
+  followers.insert(followers.end(), fed.begin(), fed.end());
   if (followers.empty()) {
     return;
   }
@@ -348,7 +404,7 @@
   wire::fleet_digest digest;
   digest.incarnation = keeper_.incarnation();
   digest.peer_address = peer_address_;
-  digest.watching = !mirror_.paused();
+  digest.watching = !mirror_.paused() || fed_;
   digest.reaches_store = mirror_.reachable();
   digest.leaving = keeper_.leaving();
   digest.store_revision = copy_.revision();
--- a/src/runtime/line/fleet_duty.h
+++ b/src/runtime/line/fleet_duty.h
@@ -62,6 +62,8 @@
   }
   /// @brief The store is known to have reached this revision.
   void ExpectRevision(int64_t revision) { mirror_.Expect(revision); }
+  /// @brief A call to the store, other than the watch, was answered or not.
+  void OnStoreCall(bool answered);
 
   /// @brief Sends a message; false if it certainly did not leave.
   bool SendTo(const std::string& vm, wire::message_body body);
@@ -76,6 +78,8 @@
 
   // --- Source of the store's changes ---
   void ChooseSource(time_point now);
+  bool IsFed(time_point now);
+  void CheckOtherRelay(time_point now);
   void OnLoaded(const std::vector<store::keyspace::item>& items,
                 int64_t revision);
   void OnChanged(const std::vector<store::keyspace::change>& changes,
@@ -117,6 +121,11 @@
   duration request_pause_;   ///< Until a request is repeated.
   /// A VM that follows no relay watches the store from then on.
   std::optional<time_point> watch_at_;
+  /// Since when other relays watch for this one. It stops after a while.
+  std::optional<time_point> replaceable_since_;
+  /// This VM relays but does not watch: other relays send it the changes.
+  bool fed_ = false;
+  time_point next_check_;  ///< Of the other relay by a follower.
   leadership::relay_changed role_;
   size_t known_stops_ = 0;  ///< Notices in the last digests to relays.
 };
--- a/src/runtime/line/fleet_exchange.cc
+++ b/src/runtime/line/fleet_exchange.cc
@@ -54,6 +54,35 @@
     known.address = vm.peer_address;
   }
   plan_.SetFleet(PlannedVms(vms));
+  relay_zones_.clear();
+  for (const relay::vm& each : plan_.Relays()) {
+    relay_zones_[each.name] = each.availability_zone;
+  }
+  watch_plan_.SetRelays(plan_.Relays());
+}
+
+bool fleet_exchange::MustWatch(time_point now) const {
+  const std::vector<std::string> watchers = watch_plan_.Watchers(now, sights_);
+  // A VM that is not registered, as at its start, is in no plan.
+  return watchers.size() < relay::watch_plan::kWatchers ||
+         !relay_zones_.contains(self_) ||
+         std::find(watchers.begin(), watchers.end(), self_) != watchers.end();
+}
+
+std::vector<std::string> fleet_exchange::FedRelays(time_point now) const {
+  return watch_plan_.FedBySelf(watch_plan_.Watchers(now, sights_));
+}
+
+std::string fleet_exchange::OtherRelay() const {
+  const auto home = relay_zones_.find(home_);
+  for (const std::string& name : plan_.Preferred()) {
+    const auto found = relay_zones_.find(name);
+    if (home != relay_zones_.end() && found != relay_zones_.end() &&
+        found->second != home->second) {
+      return name;
+    }
+  }
+  return {};
 }
 
 bool fleet_exchange::ChooseHome(time_point now) {
--- a/src/runtime/line/fleet_exchange.h
+++ b/src/runtime/line/fleet_exchange.h
@@ -37,7 +37,7 @@
 
   /// @param seeds Peer addresses that are asked while no VM is known.
   fleet_exchange(const std::string& self, std::vector<std::string> seeds)
-      : self_(self), seeds_(std::move(seeds)), plan_(self) {}
+      : self_(self), seeds_(std::move(seeds)), plan_(self), watch_plan_(self) {}
 
   void SetSeeds(std::vector<std::string> seeds) { seeds_ = std::move(seeds); }
 
@@ -54,6 +54,16 @@
   /// @brief The relay that this VM follows; empty if it follows none.
   const std::string& home() const { return home_; }
 
+  /// @brief Whether this VM, a relay, has to watch the store.
+  bool MustWatch(time_point now) const;
+  /// @brief Relays that do not watch the store and get its changes from this
+  /// VM.
+  std::vector<std::string> FedRelays(time_point now) const;
+  /// @brief A relay of another availability zone, which a VM that follows a
+  /// relay asks for changes too: its own one, if slow, may be behind. Empty if
+  /// there is none.
+  std::string OtherRelay() const;
+
   /// @brief VMs that get a digest now.
   std::vector<target> Targets(time_point now) const;
   /// @brief How a digest to a VM is made.
@@ -99,6 +109,9 @@
   std::vector<std::string> seeds_;
   relay::relay_plan plan_;
   relay::relay_selector choice_;
+  relay::watch_plan watch_plan_;
+  std::map<std::string, std::string, std::less<>>
+      relay_zones_;  ///< Availability zones of the relays, by name.
   std::map<std::string, relay::relay_status, std::less<>> sights_;
   relay::usage_totals totals_;
   std::string home_;
--- a/src/runtime/line/fleet_exchange_test.cc
+++ b/src/runtime/line/fleet_exchange_test.cc
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 namespace tarragondale::runtime {
 namespace {
 
@@ -144,6 +146,47 @@
   EXPECT_TRUE(exchange.Followers(now + seconds(3)).empty());
 }
 
+// Guards against as many calls to the store as there are relays.
+TEST(FleetExchangeTest, OnlySomeRelaysOfAKnownFleetMustWatch) {
+  const auto fleet = Registrations(8);
+  const time_point now = TimeFromMs(1'000);
+  size_t watchers = 0;
+  size_t fed = 0;
+  for (const auto& vm : fleet) {
+    fleet_exchange exchange(vm.name, {});
+    EXPECT_TRUE(exchange.MustWatch(now)) << "before it knows the fleet";
+    exchange.SetFleet(fleet);
+    EXPECT_TRUE(exchange.MustWatch(now)) << "before it heard another relay";
+    for (const auto& other : fleet) {
+      exchange.Take(other.name, OfRelay(1), now);
+    }
+    watchers += exchange.MustWatch(now) ? 1 : 0;
+    fed += exchange.FedRelays(now).size();
+  }
+  EXPECT_EQ(watchers, relay::watch_plan::kWatchers);
+  EXPECT_EQ(fed, fleet.size() - watchers);
+}
+
+// Guards against a VM whose relay is slow, and that learns of a configuration
+// from no other.
+TEST(FleetExchangeTest, FollowerKnowsARelayOfAnotherZone) {
+  const auto fleet = Registrations(195);
+  fleet_exchange exchange("vm-100", {});
+  exchange.SetFleet(fleet);
+  EXPECT_TRUE(exchange.OtherRelay().empty());
+  const time_point now = TimeFromMs(1'000);
+  const auto asked = exchange.Targets(now);
+  exchange.Take(asked[0].vm, OfRelay(1), now);
+  ASSERT_TRUE(exchange.ChooseHome(now));
+  const auto zone_of = [&](const std::string& name) {
+    return std::find_if(fleet.begin(), fleet.end(),
+                        [&](const auto& vm) { return vm.name == name; })
+        ->availability_zone;
+  };
+  ASSERT_FALSE(exchange.OtherRelay().empty());
+  EXPECT_NE(zone_of(exchange.OtherRelay()), zone_of(exchange.home()));
+}
+
 // An operation must not be counted on two ways.
 TEST(FleetExchangeTest, UsageOfAVmThatOnlyAsksIsNotCounted) {
   fleet_exchange exchange("vm-1", {});
--- a/src/runtime/line/line_daemon.cc
+++ b/src/runtime/line/line_daemon.cc
@@ -76,6 +76,11 @@
   return options;
 }
 
+bool WasAnswered(store::keyspace::call_status status) {
+  return status != store::keyspace::call_status::kRefused &&
+         status != store::keyspace::call_status::kUnknown;
+}
+
 hosting::forwarder_options ForwarderOptions(const config::settings& settings) {
   const interactive::broker_options common = BrokerOptions(settings);
   hosting::forwarder_options options;
@@ -315,6 +320,7 @@
               [this, tag = action.tag,
                sent = BootNow()](store::keyspace::reply reply) {
                 fleet_.ExpectRevision(reply.revision);
+                fleet_.OnStoreCall(WasAnswered(reply.status));
                 Post(leadership::event(
                     leadership::store_answered{tag, sent, std::move(reply)}));
               });
--- a/src/runtime/line/store_mirror.h
+++ b/src/runtime/line/store_mirror.h
@@ -59,6 +59,9 @@
 
   /// @brief Whether the last call was answered.
   bool reachable() const { return reachable_; }
+  /// @brief Sets whether the store answers, as other calls show while the
+  /// mirror is paused.
+  void SetReachable(bool reachable, const std::string& reason);
 
  private:
   void Load();
@@ -68,8 +71,6 @@
   void CheckWatch(int64_t awaited);
   void RetryLater(bool load);
 
-  void SetReachable(bool reachable, const std::string& reason);
-
   http_channel& channel_;
   handlers handlers_;
   boost::asio::steady_timer timer_;
