--- a/src/leadership/evacuation_test.cc
+++ b/src/leadership/evacuation_test.cc
@@ -64,6 +64,27 @@
   EXPECT_TRUE(test_.AllVmsHoldLease());
 }
 
+// Guards against the same loss if another controller goes on with the change:
+// it knows nothing yet of what the old primary has received.
+TEST_F(PrimaryEvacuationTest, NextControllerWaitsForCommitsToo) {
+  test_.Run(seconds(16));
+  test_.members().at("b").status.received = {1, 90};
+  test_.members().at("c").status.received = {1, 95};
+  test_.SetEvacuated("z", true);
+  test_.Run(seconds(1));
+  for (const auto& each : test_.vms()) {
+    if (each->manager->Groups()["g"].replacing) {
+      test_.Kill(*each);
+      test_.Start(*each);
+    }
+  }
+  test_.Run(seconds(10));
+  EXPECT_EQ(test_.promotions(), 0);
+  test_.members().at("c").status.received = {1, 100};
+  test_.Run(seconds(2));
+  EXPECT_EQ(test_.primary(), "c");
+}
+
 // Guards against a wait for ever for a primary that failed while its commits
 // were waited for.
 TEST_F(PrimaryEvacuationTest, FailedPrimaryIsNotWaitedFor) {
