Run statements only on members in the allowed regions of route and organisation

A route or an organisation may be restricted to regions. The broker checks the member at each statement, so that the restriction also holds for statements that are sent again, for open transactions, and when a version changes it. A hosted session also keeps to the regions that its entry VM's version sets, since the host's version may be older. They are sent in a message type of their own, which a VM that doesn't know the rule can't decode.

--- a/include/tarragondale/interactive.h
+++ b/include/tarragondale/interactive.h
@@ -50,9 +50,10 @@
   milliseconds statement_timeout{1'000};
   milliseconds latency_goal{500};  ///< For a complete operation.
   milliseconds max_staleness{0};
-  int priority = 0;            ///< 0 is the highest.
-  bool open = false;           ///< Accepts callers without an API key.
-  region_set allowed_regions;  ///< Of the members that run its statements.
+  int priority = 0;   ///< 0 is the highest.
+  bool open = false;  ///< Accepts callers without an API key.
+  /// Of the members that run its statements, and of VMs that host its sessions.
+  region_set allowed_regions = {};
 
   bool operator==(const route&) const = default;
 };
@@ -72,9 +73,10 @@
 /// @brief An organisation and its rate limit, shared by all VMs.
 struct organisation {
   std::string name;
-  double rate = 0;             ///< Operations per second; 0: no limit.
-  double burst = 0;            ///< Operations.
-  region_set allowed_regions;  ///< Of the members that run its statements.
+  double rate = 0;   ///< Operations per second; 0: no limit.
+  double burst = 0;  ///< Operations.
+  /// Of the members that run its statements, and of VMs that host its sessions.
+  region_set allowed_regions = {};
 
   bool operator==(const organisation&) const = default;
 };
@@ -292,6 +294,10 @@
   std::vector<wire::named_value> values;
   std::vector<wire::prepared_shape> prepared;
   log_position written;
+  /// Allowed regions of route and organisation in the entry VM's configuration.
+  /// They bind in addition to those in this VM's, which may be older.
+  region_set route_regions = {};
+  region_set organisation_regions = {};
 };
 struct caller_sent {
   session_id session = 0;
@@ -471,6 +477,14 @@
   double demand_per_s = 0;  ///< Current demand.
 };
 
+/// @brief Why the allowed regions kept a statement from running.
+enum class placement_refusal : uint8_t {
+  kNoMember,     ///< No member of the group is in an allowed region.
+  kPrimary,      ///< The primary, which the statement needs, is not in one.
+  kTransaction,  ///< The member that runs its transaction is not in one.
+};
+std::string_view PlacementRefusalName(placement_refusal value);
+
 struct broker_metrics {
   uint64_t sessions = 0;
   uint64_t statements = 0;
@@ -481,6 +495,7 @@
   uint64_t retries = 0;
   uint64_t lagging = 0;
   uint64_t rate_refused = 0;
+  std::map<placement_refusal, uint64_t> placement_refused;
   std::map<result_code, uint64_t> failures;
 };
 
--- a/include/tarragondale/wire.h
+++ b/include/tarragondale/wire.h
@@ -400,6 +400,18 @@
   bool operator==(const hosted_open&) const = default;
 };
 
+/// @brief A `hosted_open` of a session that is restricted to regions. A message
+/// of its own, so that a VM that can't keep to the regions doesn't decode it.
+/// The receiver applies these regions and those of its own configuration, since
+/// either version may be the newer one.
+struct restricted_open {
+  hosted_open open;
+  std::vector<std::string> route_regions;  ///< Empty: not restricted.
+  std::vector<std::string> organisation_regions;
+
+  bool operator==(const restricted_open&) const = default;
+};
+
 /// @brief A statement of a hosted session. The sequence restarts at 1 with each
 /// attachment.
 struct hosted_statement {
@@ -484,7 +496,8 @@
                                   hosted_answer,
                                   hosted_ended,
                                   host_check,
-                                  host_alive>;
+                                  host_alive,
+                                  restricted_open>;
 
 struct message {
   std::string sender;  ///< Name of the VM that sent it.
--- a/src/interactive/broker.cc
+++ b/src/interactive/broker.cc
@@ -170,6 +170,8 @@
     hosted.prepared[each.name] = {each.writes, each.shape};
   }
   hosted.written = event.written;
+  hosted.entry_route_regions = event.route_regions;
+  hosted.entry_organisation_regions = event.organisation_regions;
 }
 
 void session_broker::implementation::On(const caller_sent& event) {
--- a/src/interactive/broker_dispatch.cc
+++ b/src/interactive/broker_dispatch.cc
@@ -46,12 +46,16 @@
       FailLink(on->id, "this VM's lease to use the primary ended");
       return false;
     }
+    if (FailMisplacedTransaction(of, *on)) {
+      return false;
+    }
     Dequeue(of);
     SendStatement(of, *on, std::nullopt);
     return true;
   }
   std::vector<candidate> candidates = Candidates(of);
   if (candidates.empty()) {
+    RefuseMisplaced(of);
     return false;
   }
   std::stable_sort(
@@ -105,6 +109,7 @@
   if (!queued.primary_only) {
     AddReplicas(of, found);
   }
+  EraseMisplaced(of, found);
   return found;
 }
 
--- a/src/interactive/broker_implementation.h
+++ b/src/interactive/broker_implementation.h
@@ -15,6 +15,7 @@
 
 #include "src/interactive/link.h"
 #include "src/interactive/member_pool.h"
+#include "src/interactive/placement_rules.h"
 #include "src/interactive/position_history.h"
 #include "src/interactive/session.h"
 #include "src/interactive/shared_rate.h"
@@ -117,6 +118,19 @@
                      std::optional<log_position> minimum);
   void Send(link& on, std::vector<member_statement> statements);
   size_t LinkQuotaOf(const member& of) const;
+
+  // --- Allowed regions (broker_placement.cc) ---
+  // Those of route and organisation in the configuration in force and, in a
+  // hosted session, in that of its entry VM.
+  placement_rules RulesOf(const session& of) const;
+  bool AllowsMember(const placement_rules& rules, const member& of) const;
+  void EraseMisplaced(session& of, std::vector<candidate>& from);
+  // If no member that could run the waiting statement is in an allowed region,
+  // refuses the statement and returns true.
+  bool RefuseMisplaced(session& of);
+  // If the member that runs the session's transaction is not in an allowed
+  // region, fails the transaction as not committed and returns true.
+  bool FailMisplacedTransaction(session& of, const link& on);
   // Whether the member is the newest known primary of its group, even if this
   // VM's lease on it has expired.
   bool IsPrimary(const member& of) const;
--- a/src/interactive/broker_links.cc
+++ b/src/interactive/broker_links.cc
@@ -158,6 +158,9 @@
     if (of.current->as_primary && !OnLeasedPrimary(of, on)) {
       return FailLink(on.id, "this VM's lease to use the primary ended");
     }
+    if (FailMisplacedTransaction(of, on)) {
+      return;
+    }
     return SendStatement(of, on, std::nullopt);
   }
   of.current->link = 0;
--- a/src/interactive/names.cc
+++ b/src/interactive/names.cc
@@ -25,6 +25,9 @@
                                      "timeout"sv,
                                      "other"sv};
 
+constexpr std::array kPlacementRefusals = {"no_member"sv, "primary"sv,
+                                           "transaction"sv};
+
 }  // namespace
 
 std::string_view FreshnessName(freshness value) {
@@ -35,6 +38,10 @@
   return kStatementKinds[static_cast<size_t>(kind)];
 }
 
+std::string_view PlacementRefusalName(placement_refusal value) {
+  return kPlacementRefusals[static_cast<size_t>(value)];
+}
+
 std::string_view MemberCodeName(member_code code) {
   return kMemberCodes[static_cast<size_t>(code)];
 }
--- a/src/interactive/session.h
+++ b/src/interactive/session.h
@@ -55,6 +55,9 @@
   std::string key;
   std::string organisation;
   bool hosted = false;  ///< Its caller is connected to another VM.
+  /// Allowed regions in the configuration of a hosted session's entry VM.
+  region_set entry_route_regions;
+  region_set entry_organisation_regions;
   std::map<std::string, std::string, std::less<>> values;
   std::map<std::string, prepared_statement, std::less<>> prepared;
   log_position written;  ///< Log position of its newest commit.
--- a/src/wire/fields.h
+++ b/src/wire/fields.h
@@ -276,6 +276,14 @@
                                             &hosted_open::written);
 };
 
+template <>
+struct fields<restricted_open> {
+  static constexpr auto kTable =
+      FieldTable(&restricted_open::open,
+                 &restricted_open::route_regions,
+                 &restricted_open::organisation_regions);
+};
+
 template <>
 struct fields<hosted_statement> {
   static constexpr auto kTable = FieldTable(&hosted_statement::id,
--- a/src/wire/wire_test.cc
+++ b/src/wire/wire_test.cc
@@ -111,7 +111,10 @@
                              true}},
       {"vm-1", hosted_ended{{7, 8, 9}, true, 2, 3, true}},
       {"vm-1", host_check{{7, 8, 9}}},
-      {"vm-1", host_alive{{7, 8, 9}}}};
+      {"vm-1", host_alive{{7, 8, 9}}},
+      {"vm-1", restricted_open{{{7, 8, 9}, "orders", "north", {}, {}, {3, 12}},
+                               {"east"},
+                               {"east", "west"}}}};
 }
 
 // Guards against a field table that lacks a member, and against a type number
