Host sessions only in the allowed regions of route and organisation

The entry VM may stand in another region than its caller, so its region gives other VMs there no right to a restricted session's statements. Such a session runs at the hosts of an allowed region, or at the entry VM itself. When the regions change, a session is detached at the next statement; an open transaction stays only if its host keeps to the new regions anyway.

--- a/include/tarragondale/hosting.h
+++ b/include/tarragondale/hosting.h
@@ -24,6 +24,7 @@
 
 #include "tarragondale/base.h"
 #include "tarragondale/interactive.h"
+#include "tarragondale/interactive/placement_rules.h"
 #include "tarragondale/relay.h"
 #include "tarragondale/wire.h"
 
@@ -52,13 +53,33 @@
   std::vector<std::string> HostsOf(std::string_view group,
                                    std::string_view organisation) const;
 
+  /// @brief Hosts for an organisation's sessions that only VMs in the allowed
+  /// regions of `rules` may host. If this VM's region is allowed, those of
+  /// `HostsOf` without regions. Otherwise those that the VMs of an allowed
+  /// region use, the regions in an order that all VMs compute alike, so that no
+  /// more VMs connect to the members. If empty, this VM runs the session.
+  std::vector<std::string> HostsOf(
+      std::string_view group,
+      std::string_view organisation,
+      const interactive::placement_rules& rules) const;
+
+  /// @brief Region of a registered VM; empty: not known.
+  std::string_view RegionOf(std::string_view vm) const;
+
   /// @brief Number of VMs that connect to each member, without fallback hosts;
   /// 0 means all VMs.
   int vms_per_member() const { return vms_per_member_; }
 
  private:
+  std::vector<std::string> HostsIn(std::string_view region,
+                                   std::string_view group,
+                                   std::string_view organisation) const;
+
   const std::string self_;
-  std::vector<std::string> capable_;  ///< Candidate hosts in this VM's region.
+  std::string region_;  ///< Of this VM.
+  std::map<std::string, std::vector<std::string>, std::less<>>
+      capable_;  ///< Candidate hosts by region; none without hosts.
+  std::map<std::string, std::string, std::less<>> regions_;  ///< By VM.
   int vms_per_member_ = 0;
 };
 
@@ -152,6 +173,9 @@
 
   const host_plan& plan() const { return plan_; }
   size_t sessions() const { return sessions_.size(); }
+  /// @brief Times that a session was detached since its allowed regions
+  /// changed.
+  uint64_t moved_by_regions() const { return moved_by_regions_; }
   /// @brief Time of the next call to `OnTick`; empty if none is needed before
   /// another event.
   std::optional<time_point> NextDeadline() const;
@@ -177,6 +201,10 @@
     interactive::transaction_state state =
         interactive::transaction_state::kIdle;
     std::string host;  ///< Empty: not attached to a host.
+    std::string host_region;
+    /// Allowed regions that were in force when the session was attached.
+    interactive::region_set route_regions;
+    interactive::region_set organisation_regions;
     uint64_t attach_epoch = 0;
     uint64_t last_sequence = 0;
     std::deque<pending_statement> waiting;
@@ -195,6 +223,13 @@
   std::string ChooseHost(time_point now, const session& of);
   std::optional<std::string> OrganisationOf(const session& of) const;
   void UpdateOrganisation(interactive::session_id id, session& of);
+  // Allowed regions of the session's route and organisation.
+  const interactive::region_set& RouteRegions(const session& of) const;
+  const interactive::region_set& OrganisationRegions(const session& of) const;
+  interactive::placement_rules RulesOf(const session& of) const;
+  // Whether the host, as it was told, keeps to all regions in force now.
+  bool KeepsToRegions(const session& of) const;
+  void UpdateRegions(interactive::session_id id, session& of);
   void SendWaiting(time_point now, interactive::session_id id);
   bool AnswerWithoutHost(interactive::session_id id, session& of);
   void Attach(time_point now, interactive::session_id id, session& of);
@@ -229,6 +264,7 @@
       avoided_hosts_;  ///< End of the cooldown, by host.
   std::optional<time_point> draining_since_;
   time_point next_sweep_;
+  uint64_t moved_by_regions_ = 0;
   std::vector<action> actions_;
 };
 
--- a/src/interactive/placement_rules.h
+++ b/include/tarragondale/interactive/placement_rules.h
@@ -1,7 +1,7 @@
 // Decides which members may run a session's statements, and which VMs may host
 // the session, from the allowed regions of its route and its organisation.
-#ifndef TARRAGONDALE_SRC_INTERACTIVE_PLACEMENT_RULES_H_
-#define TARRAGONDALE_SRC_INTERACTIVE_PLACEMENT_RULES_H_
+#ifndef TARRAGONDALE_INTERACTIVE_PLACEMENT_RULES_H_
+#define TARRAGONDALE_INTERACTIVE_PLACEMENT_RULES_H_
 
 #include <array>
 #include <cstddef>
@@ -49,4 +49,4 @@
 
 }  // namespace tarragondale::interactive
 
-#endif  // TARRAGONDALE_SRC_INTERACTIVE_PLACEMENT_RULES_H_
+#endif  // TARRAGONDALE_INTERACTIVE_PLACEMENT_RULES_H_
--- a/src/hosting/forwarder.cc
+++ b/src/hosting/forwarder.cc
@@ -152,7 +152,7 @@
   }
   std::erase_if(avoided_hosts_,
                 [&](const auto& each) { return now >= each.second; });
-  const auto hosts = plan_.HostsOf(route->group, of.organisation);
+  const auto hosts = plan_.HostsOf(route->group, of.organisation, RulesOf(of));
   for (const std::string& host : hosts) {
     if (!avoided_hosts_.contains(host)) {
       return host;
@@ -177,7 +177,19 @@
   for (const auto& [name, shape] : of.prepared) {
     open.prepared.push_back(shape);
   }
-  actions_.emplace_back(send_message{of.host, std::move(open)});
+  of.host_region = plan_.RegionOf(of.host);
+  of.route_regions = RouteRegions(of);
+  of.organisation_regions = OrganisationRegions(of);
+  if (of.route_regions.empty() && of.organisation_regions.empty()) {
+    actions_.emplace_back(send_message{of.host, std::move(open)});
+    return;
+  }
+  actions_.emplace_back(send_message{
+      of.host,
+      wire::restricted_open{
+          std::move(open),
+          {of.route_regions.begin(), of.route_regions.end()},
+          {of.organisation_regions.begin(), of.organisation_regions.end()}}});
 }
 
 // Detaches the session from its host. Unanswered statements then count as not
@@ -214,6 +226,7 @@
 void forwarder::SendWaiting(time_point now, session_id id) {
   session& of = sessions_.at(id);
   UpdateOrganisation(id, of);
+  UpdateRegions(id, of);
   while (!of.waiting.empty() && of.host.empty() &&
          of.state != transaction_state::kIdle) {
     if (!AnswerWithoutHost(id, of)) {
@@ -234,6 +247,9 @@
       }
       return;
     }
+    if (!KeepsToRegions(of)) {
+      return;  // Statements that were sent earlier are answered first.
+    }
     if (of.host.empty()) {
       if (now < of.retry_at) {
         return;  // `Sweep` retries.
@@ -280,7 +296,12 @@
       avoided_hosts_[message.vm] = now + options_.host_cooldown;
     }
   };
-  if (const auto* open = std::get_if<wire::hosted_open>(&message.body)) {
+  const auto* open = std::get_if<wire::hosted_open>(&message.body);
+  if (const auto* restricted =
+          std::get_if<wire::restricted_open>(&message.body)) {
+    open = &restricted->open;
+  }
+  if (open != nullptr) {
     if (session* const of = Find(open->id)) {
       ForgetHost(*of);
       schedule_retry(*of);
--- a/src/hosting/session_host.cc
+++ b/src/hosting/session_host.cc
@@ -52,7 +52,12 @@
     messages_.push_back(
         {vm, wire::hosted_ended{id, false, 0, sequence, closed_}});
   };
-  if (const auto* open = std::get_if<wire::hosted_open>(&body)) {
+  const auto* open = std::get_if<wire::hosted_open>(&body);
+  const auto* const restricted = std::get_if<wire::restricted_open>(&body);
+  if (restricted != nullptr) {
+    open = &restricted->open;
+  }
+  if (open != nullptr) {
     const key entry = KeyOf(vm, open->id);
     const auto known = ids_.find(entry);
     if (known != ids_.end() &&
@@ -67,9 +72,16 @@
     const session_id id = ++last_;
     ids_[entry] = id;
     sessions_[id] = {entry, open->id.attach_epoch, 0, 0, now};
-    events.emplace_back(interactive::session_hosted{
-        id, open->database, open->organisation, open->values, open->prepared,
-        open->written});
+    interactive::session_hosted hosted{
+        id,           open->database, open->organisation,
+        open->values, open->prepared, open->written};
+    if (restricted != nullptr) {
+      hosted.route_regions = {restricted->route_regions.begin(),
+                              restricted->route_regions.end()};
+      hosted.organisation_regions = {restricted->organisation_regions.begin(),
+                                     restricted->organisation_regions.end()};
+    }
+    events.emplace_back(std::move(hosted));
   } else if (const auto* sent = std::get_if<wire::hosted_statement>(&body)) {
     hosted* const of = Find(vm, sent->id);
     const bool valid =
--- a/src/interactive/broker_implementation.h
+++ b/src/interactive/broker_implementation.h
@@ -15,11 +15,11 @@
 
 #include "src/interactive/link.h"
 #include "src/interactive/member_pool.h"
-#include "src/interactive/placement_rules.h"
 #include "src/interactive/position_history.h"
 #include "src/interactive/session.h"
 #include "src/interactive/shared_rate.h"
 #include "tarragondale/interactive.h"
+#include "tarragondale/interactive/placement_rules.h"
 
 namespace tarragondale::interactive {
 
--- a/src/interactive/placement_rules.cc
+++ b/src/interactive/placement_rules.cc
@@ -1,5 +1,5 @@
 // Allowed regions of members and hosts.
-#include "src/interactive/placement_rules.h"
+#include "tarragondale/interactive/placement_rules.h"
 
 #include <algorithm>
 
--- a/src/interactive/placement_test.cc
+++ b/src/interactive/placement_test.cc
@@ -3,7 +3,7 @@
 #include <gtest/gtest.h>
 
 #include "src/interactive/broker_harness.h"
-#include "src/interactive/placement_rules.h"
+#include "tarragondale/interactive/placement_rules.h"
 
 namespace tarragondale::interactive {
 namespace {
