Limit the statements that a cold member gets from all VMs

A member that has just started got the full load of all VMs at once. Each VM now admits a fixed share of the group's cold rate, which needs no message for a statement, and every statement to a cold member counts, also begins, commits and session values. Fleets with too many senders for whole shares take turns in slots.

--- a/include/tarragondale/interactive.h
+++ b/include/tarragondale/interactive.h
@@ -106,6 +106,9 @@
   int64_t started_ms = 0;       ///< Unix start time; identifies incarnations.
   /// How much longer it is slow after its start, when it reported this.
   milliseconds cold_left{0};
+  /// End of this time on this VM's clock: the latest of the receipt times of
+  /// its reports plus what they said.
+  time_point cold_until = {};
 
   bool operator==(const member_record&) const = default;
 };
@@ -334,6 +337,19 @@
 struct primary_leases_changed {
   std::map<std::string, primary_lease, std::less<>> by_group;
 };
+/// @brief The VMs that may send statements to a cold member, as this VM sees
+/// them: those that may host sessions of the member's group or, without hosts,
+/// all VMs.
+struct cold_senders {
+  std::string self;           ///< Name of this VM.
+  std::set<std::string> vms;  ///< In service.
+  /// By region, the VMs of which the `hosts` with the highest rendezvous
+  /// weights for a group may host its sessions; empty: there are no hosts.
+  std::map<std::string, std::vector<std::string>, std::less<>> candidates;
+  size_t hosts = 0;
+
+  bool operator==(const cold_senders&) const = default;
+};
 /// @brief The VMs in service changed, or how many of them connect to each
 /// member. The counts include this VM.
 struct fleet_changed {
@@ -341,6 +357,7 @@
   std::map<std::string, int, std::less<>> by_zone;
   /// VMs that connect to each database member; 0: all VMs.
   int vms_per_member = 0;
+  cold_senders senders = {};
 };
 /// @brief A position in a primary's log, reported by another VM. Every commit
 /// acknowledged before the time `covers` has a log position of at most
@@ -496,6 +513,8 @@
   uint64_t lagging = 0;
   uint64_t rate_refused = 0;
   std::map<placement_refusal, uint64_t> placement_refused;
+  uint64_t sent_to_cold = 0;  ///< Statements sent to cold members.
+  uint64_t cold_refused = 0;  ///< Statements refused for lack of allowance.
   std::map<result_code, uint64_t> failures;
 };
 
--- a/src/interactive/broker.cc
+++ b/src/interactive/broker.cc
@@ -262,6 +262,7 @@
 void session_broker::implementation::On(const fleet_changed& event) {
   vms_ = std::max(1, event.vms);
   pool_.SetFleet(event.vms, event.by_zone, event.vms_per_member);
+  cold_.SetSenders(event.senders, now_);
   for (auto& [name, rate] : rates_) {
     rate.SetFleet(vms_);
   }
--- a/src/interactive/broker_dispatch.cc
+++ b/src/interactive/broker_dispatch.cc
@@ -49,6 +49,13 @@
     if (FailMisplacedTransaction(of, *on)) {
       return false;
     }
+    if (!IsReadyOn(of, *on)) {
+      const member& by = *pool_.Find(on->member);
+      if (on->awaited.empty() && IsAllowanceTooLate(of, by)) {
+        RefuseCold(of, by);
+      }
+      return false;
+    }
     Dequeue(of);
     SendStatement(of, *on, std::nullopt);
     return true;
@@ -66,6 +73,12 @@
       queued.last_reason = fmt::format("member {} is busy", each.to->record.id);
       continue;
     }
+    if (IsCold(*each.to)) {
+      if (TryCold(of, each)) {
+        return true;
+      }
+      continue;
+    }
     if (UseCandidate(of, each)) {
       return true;
     }
@@ -81,6 +94,10 @@
       return false;
     }
   }
+  // Only the primary can run it, which is then the only candidate.
+  if (queued.primary_only && IsAllowanceTooLate(of, *candidates.front().to)) {
+    RefuseCold(of, *candidates.front().to);
+  }
   return false;
 }
 
@@ -304,6 +321,7 @@
   if (statements.empty()) {
     return;
   }
+  CountColdStatements(on, statements.size());
   for (const member_statement& each : statements) {
     on.awaited.push_back({each.what, now_});
   }
--- a/src/interactive/broker_implementation.h
+++ b/src/interactive/broker_implementation.h
@@ -13,6 +13,7 @@
 #include <utility>
 #include <vector>
 
+#include "src/interactive/cold_allowance.h"
 #include "src/interactive/link.h"
 #include "src/interactive/member_pool.h"
 #include "src/interactive/position_history.h"
@@ -135,6 +136,25 @@
   // VM's lease on it has expired.
   bool IsPrimary(const member& of) const;
 
+  // --- Cold members (broker_cold.cc) ---
+  // Statements per second that the member may get from all VMs; 0: no limit.
+  double ColdRate(const member& of) const;
+  bool IsCold(const member& of) const { return ColdRate(of) > 0; }
+  // Whether this VM may send a statement to the member now, cold or not.
+  bool HasAllowance(const member& to);
+  // Whether the allowance comes too late for the waiting statement.
+  bool IsAllowanceTooLate(const session& of, const member& to);
+  bool TryCold(session& of, const candidate& chosen);
+  // Whether the waiting statement may be sent on the link now. Each statement
+  // to a cold member needs an allowance: if others must be sent before, to
+  // apply session state, sends one of them and returns false.
+  bool IsReadyOn(session& of, link& on);
+  void RefuseCold(session& of, const member& to);
+  // Rolls a transaction back, or closes the link of a cold member without an
+  // allowance. Returns false if the link was closed.
+  bool RollBack(link& on);
+  void CountColdStatements(const link& on, size_t statements);
+
   // --- Answers and link failures (broker_links.cc) ---
   void OnBeginAnswer(session& of, link& on, const member_answer& answer);
   void OnStatementAnswer(session& of,
@@ -183,6 +203,7 @@
 
   broker_options options_;
   member_pool pool_;
+  cold_allowance cold_;
   time_point now_;
   std::vector<action> actions_;
   broker_metrics metrics_;
--- a/src/interactive/broker_links.cc
+++ b/src/interactive/broker_links.cc
@@ -161,6 +161,13 @@
     if (FailMisplacedTransaction(of, on)) {
       return;
     }
+    if (IsCold(*pool_.Find(on.member))) {
+      // The statement waits for an allowance of its own.
+      of.current->link = 0;
+      Enqueue(of);
+      dispatch_needed_ = true;
+      return;
+    }
     return SendStatement(of, on, std::nullopt);
   }
   of.current->link = 0;
--- a/src/interactive/broker_statements.cc
+++ b/src/interactive/broker_statements.cc
@@ -313,9 +313,8 @@
   if (on == nullptr) {
     return;
   }
-  if (on->begun) {
-    on->begun = false;
-    Send(*on, {{.what = member_statement::step::kRollback}});
+  if (on->begun && !RollBack(*on)) {
+    return;
   }
   ReleaseLink(*on);
 }
@@ -368,12 +367,11 @@
           return each.what == member_statement::step::kBegin ||
                  each.what == member_statement::step::kBeginReadOnly;
         });
-    if ((on->begun || beginning) && !committing) {
-      Send(*on, {{.what = member_statement::step::kRollback}});
+    if (!(on->begun || beginning) || committing || RollBack(*on)) {
+      on->begun = false;
+      on->owner = 0;
+      on->last_used = now_;
     }
-    on->begun = false;
-    on->owner = 0;
-    on->last_used = now_;
   }
   sessions_.erase(found);
   dispatch_needed_ = true;
