Take members' cold times from their reports, and count refusals by placement

The end of a cold time is fixed when a report arrives, on this VM's clock, and never moves back for one start of a member. Heartbeats that only count it down publish no new list of members.

--- a/include/tarragondale/hosting.h
+++ b/include/tarragondale/hosting.h
@@ -70,6 +70,10 @@
   /// 0 means all VMs.
   int vms_per_member() const { return vms_per_member_; }
 
+  /// @brief VMs that may send statements to a cold member: the hosts and
+  /// fallback hosts of its group.
+  interactive::cold_senders ColdSenders() const;
+
  private:
   std::vector<std::string> HostsIn(std::string_view region,
                                    std::string_view group,
--- a/src/hosting/host_plan.cc
+++ b/src/hosting/host_plan.cc
@@ -47,6 +47,15 @@
   }
 }
 
+interactive::cold_senders host_plan::ColdSenders() const {
+  interactive::cold_senders senders{
+      self_, {}, capable_, kHosts + kFallbackHosts};
+  for (const auto& [name, region] : regions_) {
+    senders.vms.insert(name);
+  }
+  return senders;
+}
+
 std::string_view host_plan::RegionOf(std::string_view vm) const {
   const auto found = regions_.find(vm);
   return found == regions_.end() ? std::string_view()
--- a/src/hosting/regions_test.cc
+++ b/src/hosting/regions_test.cc
@@ -265,5 +265,22 @@
   EXPECT_EQ(hosted.organisation_regions, (region_set{"south", "west"}));
 }
 
+// Guards against shares of a cold member that count other VMs than those that
+// host its group's sessions.
+TEST(HostPlanTest, SendersToAColdMemberAreTheHostsOfAllRegions) {
+  host_plan plan("vm-0");
+  plan.SetFleet(Fleet());
+  const interactive::cold_senders senders = plan.ColdSenders();
+  EXPECT_EQ(senders.self, "vm-0");
+  EXPECT_EQ(senders.vms.size(), 30U);
+  EXPECT_EQ(senders.candidates.size(), 3U);
+  EXPECT_EQ(senders.hosts, plan.HostsOf("g", "red").size());
+  auto small = Fleet();
+  small.resize(3);
+  plan.SetFleet(small);
+  EXPECT_TRUE(plan.ColdSenders().candidates.empty());
+  EXPECT_EQ(plan.ColdSenders().vms.size(), 3U);
+}
+
 }  // namespace
 }  // namespace tarragondale::hosting
--- a/src/runtime/line/fleet_duty.cc
+++ b/src/runtime/line/fleet_duty.cc
@@ -174,9 +174,9 @@
   const auto changes = copy_.Load(items, revision);
   mirror_.Advance(copy_.revision());
   if (!view_.loaded()) {
-    view_.Load(items, copy_.revision(), "the store");
+    view_.Load(items, copy_.revision(), "the store", BootNow());
   } else {
-    view_.Apply(changes, "the store");
+    view_.Apply(changes, "the store", BootNow());
   }
   if (after > 0) {
     PushToFollowers(after, BootNow());
@@ -188,7 +188,7 @@
   const int64_t after = copy_.revision();
   const auto unknown = copy_.Apply(changes, revision);
   if (!unknown.empty()) {
-    view_.Apply(unknown, "the store");
+    view_.Apply(unknown, "the store", BootNow());
     PushToFollowers(after, BootNow());
   }
 }
@@ -209,9 +209,9 @@
   mirror_.Advance(copy_.revision());
   const std::string source = "VM " + vm;
   if (!view_.loaded()) {
-    view_.Load(copy_.Items(), copy_.revision(), source);
+    view_.Load(copy_.Items(), copy_.revision(), source, BootNow());
   } else {
-    view_.Apply(*changes, source);
+    view_.Apply(*changes, source, BootNow());
   }
   PushToFollowers(after, now);
 }
--- a/src/runtime/line/hosting_duty.h
+++ b/src/runtime/line/hosting_duty.h
@@ -66,6 +66,12 @@
   /// @brief Sessions of other VMs' callers that run here.
   size_t hosted() const { return host_.sessions(); }
   int vms_per_member() const { return forwarder_.plan().vms_per_member(); }
+  interactive::cold_senders ColdSenders() const {
+    return forwarder_.plan().ColdSenders();
+  }
+  /// @brief Times that a session left its host since its allowed regions
+  /// changed.
+  uint64_t moved_by_regions() const { return forwarder_.moved_by_regions(); }
   std::optional<time_point> NextDeadline() const;
 
  private:
--- a/src/runtime/line/line_daemon.cc
+++ b/src/runtime/line/line_daemon.cc
@@ -363,6 +363,7 @@
     hosting_.SetFleet(action.vms);
     interactive::fleet_changed changed;
     changed.vms_per_member = hosting_.vms_per_member();
+    changed.senders = hosting_.ColdSenders();
     changed.vms = std::max<int>(1, static_cast<int>(action.vms.size()));
     for (const leadership::vm_registration& vm : action.vms) {
       ++changed.by_zone[vm.availability_zone];
@@ -410,6 +411,22 @@
         metrics.lagging);
     set("tarragondale_rate_refused", "Operations beyond a rate.",
         metrics.rate_refused);
+    set("tarragondale_sent_to_cold", "Statements sent to cold members.",
+        metrics.sent_to_cold);
+    set("tarragondale_cold_refused",
+        "Statements refused since a cold member's allowance came too late.",
+        metrics.cold_refused);
+    set("tarragondale_sessions_moved_by_regions",
+        "Sessions that left their host since the allowed regions changed.",
+        hosting_.moved_by_regions());
+    for (const auto& [reason, count] : metrics.placement_refused) {
+      registry_
+          .Gauge("tarragondale_placement_refused",
+                 "Statements refused since no allowed region has the member.",
+                 {{"reason",
+                   std::string(interactive::PlacementRefusalName(reason))}})
+          .Set(static_cast<int64_t>(count));
+    }
     if (const auto& configuration = fleet_.view().configuration_snapshot()) {
       set("tarragondale_configuration_version",
           "Version of the configuration in force.",
--- a/src/runtime/line/member_listing.h
+++ b/src/runtime/line/member_listing.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "src/runtime/line/cold_reports.h"
 #include "tarragondale/interactive.h"
 #include "tarragondale/store/keyspace.h"
 
@@ -14,17 +15,19 @@
 class member_listing {
  public:
   /// @brief Takes all entries over.
-  void Load(const std::vector<store::keyspace::item>& items);
+  void Load(const std::vector<store::keyspace::item>& items, time_point now);
 
-  /// @brief Takes a change over; false if it is no member's.
-  bool Apply(const store::keyspace::change& change);
+  /// @brief Takes a change over; false if it is no member's, or if a member
+  /// only counts its cold time down.
+  bool Apply(const store::keyspace::change& change, time_point now);
 
   const interactive::member_directory& members() const { return members_; }
 
  private:
-  void Set(const std::string& key, const std::string& value);
+  bool Set(const store::keyspace::item& item, time_point now);
 
   interactive::member_directory members_;  ///< Valid entries by id.
+  cold_reports cold_;
 };
 
 }  // namespace tarragondale::runtime
--- a/src/runtime/line/store_view.cc
+++ b/src/runtime/line/store_view.cc
@@ -11,9 +11,10 @@
 
 void store_view::Load(const std::vector<store::keyspace::item>& items,
                       int64_t revision,
-                      std::string_view source) {
+                      std::string_view source,
+                      time_point now) {
   loaded_ = true;
-  listing_.Load(items);
+  listing_.Load(items, now);
   leadership::items_loaded fleet;
   fleet.revision = revision;
   for (const store::keyspace::item& item : items) {
@@ -28,7 +29,8 @@
 }
 
 void store_view::Apply(const std::vector<store::keyspace::change>& changes,
-                       std::string_view source) {
+                       std::string_view source,
+                       time_point now) {
   bool members_changed = false;
   for (const store::keyspace::change& change : changes) {
     if (change.now.key.starts_with(leadership::kKeyPrefix)) {
@@ -38,7 +40,7 @@
     if (!change.removed && change.now.key == platform::kConfigurationKey) {
       SeeConfiguration(change.now.value, source);
     }
-    members_changed = listing_.Apply(change) || members_changed;
+    members_changed = listing_.Apply(change, now) || members_changed;
   }
   if (members_changed) {
     PublishMembers();
--- a/src/runtime/line/store_view.h
+++ b/src/runtime/line/store_view.h
@@ -29,10 +29,12 @@
   /// @brief All keys were read at `revision`. `source` is for people.
   void Load(const std::vector<store::keyspace::item>& items,
             int64_t revision,
-            std::string_view source);
+            std::string_view source,
+            time_point now);
 
   void Apply(const std::vector<store::keyspace::change>& changes,
-             std::string_view source);
+             std::string_view source,
+             time_point now);
 
   bool loaded() const { return loaded_; }
   const interactive::configuration_snapshot_ptr& configuration_snapshot()
