Send nothing to cold members while most VMs are not registered

With hosts, VMs that see different parts of the fleet choose different hosts, and each would use a share.

--- a/src/interactive/cold_allowance.cc
+++ b/src/interactive/cold_allowance.cc
@@ -69,6 +69,10 @@
   }
   std::erase_if(
       seen_, [&](const auto& each) { return now - each.second > kRetention; });
+  incomplete_until_ =
+      !senders.candidates.empty() && 2 * senders.vms.size() < seen_.size()
+          ? now + kRetention
+          : time_point();
   // From all VMs to hosts or back, the shares don't add up: all wait.
   const bool other_kind =
       senders.candidates.empty() != senders_.candidates.empty();
@@ -192,7 +196,7 @@
   }
   const share own = ShareOf(rate, of.largest);
   const member_state& state = StateOf(member, own, now);
-  time_point next = std::max(now, of.since + kSettleTime);
+  time_point next = std::max({now, of.since + kSettleTime, incomplete_until_});
   if (state.sent.size() >= own.per_second) {
     next = std::max(
         next, state.sent[state.sent.size() - own.per_second] + seconds(1));
--- a/src/interactive/cold_allowance.h
+++ b/src/interactive/cold_allowance.h
@@ -31,8 +31,9 @@
 /// two slots may overlap, so those of one plan for half.
 ///
 /// Invariants: a VM that doesn't see itself among the senders, or has been one
-/// for less than `kSettleTime`, admits nothing. A VM that left still counts for
-/// `kRetention`.
+/// for less than `kSettleTime`, admits nothing. Without hosts, a VM that left
+/// still counts for `kRetention`; with hosts, nothing is admitted for as long
+/// if more than half of the VMs disappeared, since others may see other hosts.
 class cold_allowance {
  public:
   /// Longer than VMs keep a primary lease that they can't renew, after which
@@ -113,6 +114,8 @@
   cold_senders senders_;
   std::map<std::string, time_point> seen_;  ///< VMs, and when last in service.
   time_point changed_;
+  /// Nothing is admitted before: with hosts, after most VMs disappeared.
+  time_point incomplete_until_;
   std::map<std::string, group_state> groups_;
   std::map<std::string, member_state> members_;
 };
--- a/src/interactive/cold_allowance_test.cc
+++ b/src/interactive/cold_allowance_test.cc
@@ -79,6 +79,13 @@
     of.cut_off = false;
     due_.emplace(now_ + Draw(500), NameOf(of));
   }
+  // Each VM sees only its own registration.
+  void ForgetOthers() {
+    for (auto& [name, each] : vms_) {
+      registered_ = {name};
+      Tell(name, each);
+    }
+  }
   void CutOff() { vms_.at(AnyVm()).cut_off = true; }
 
   size_t size() const { return vms_.size(); }
@@ -244,6 +251,21 @@
   }
 }
 
+// Guards against shares that grow because registrations are missing for a
+// while, for example while VMs register again with a restored store.
+TEST(ColdAllowanceTest, MissingRegistrationsDoNotRaiseTheShares) {
+  for (const bool hosted : {false, true}) {
+    sending_fleet fleet(16, 2, hosted, 10, 7);
+    fleet.Run(seconds(5));
+    fleet.StartMember(seconds(30));
+    fleet.Run(seconds(2));
+    fleet.ForgetOthers();
+    fleet.Run(seconds(20));
+    EXPECT_LE(static_cast<double>(fleet.Peak()), Bound(10))
+        << "hosted " << hosted;
+  }
+}
+
 // Guards against a second share after a restart.
 TEST(ColdAllowanceTest, RestartedFleetWaits) {
   sending_fleet fleet(4, 1, false, 10, 5);
