--- a/include/tarragondale/interactive.h
+++ b/include/tarragondale/interactive.h
@@ -51,9 +51,10 @@
   milliseconds statement_timeout{1'000};
   milliseconds latency_goal{500};  ///< For a complete operation.
   milliseconds max_staleness{0};
-  int priority = 0;                 ///< 0 is the highest.
-  bool open = false;                ///< Accepts callers without an API key.
-  region_set allowed_regions = {};  ///< Of the members that run its statements.
+  int priority = 0;   ///< 0 is the highest.
+  bool open = false;  ///< Accepts callers without an API key.
+  /// Of the members that run its statements, and of VMs that host its sessions.
+  region_set allowed_regions = {};
 
   bool operator==(const route&) const = default;
 };
@@ -73,9 +74,10 @@
 /// @brief An organisation and its rate limit, shared by all VMs.
 struct organisation {
   std::string name;
-  double rate = 0;                  ///< Operations per second; 0: no limit.
-  double burst = 0;                 ///< Operations.
-  region_set allowed_regions = {};  ///< Of the members that run its statements.
+  double rate = 0;   ///< Operations per second; 0: no limit.
+  double burst = 0;  ///< Operations.
+  /// Of the members that run its statements, and of VMs that host its sessions.
+  region_set allowed_regions = {};
 
   bool operator==(const organisation&) const = default;
 };
@@ -107,6 +109,9 @@
   milliseconds cold_left{0};
   /// Operators are emptying its availability zone.
   bool evacuated = false;
+  /// End of this time on this VM's clock: the latest of the receipt times of
+  /// its reports plus what they said.
+  time_point cold_until = {};
 
   bool operator==(const member_record&) const = default;
 };
@@ -305,6 +310,10 @@
   std::vector<wire::named_value> values;
   std::vector<wire::prepared_shape> prepared;
   log_position written;
+  /// Allowed regions of route and organisation in the entry VM's configuration.
+  /// They bind in addition to those in this VM's, which may be older.
+  region_set route_regions = {};
+  region_set organisation_regions = {};
 };
 struct caller_sent {
   session_id session = 0;
@@ -343,6 +352,19 @@
 struct primary_leases_changed {
   std::map<std::string, primary_lease, std::less<>> by_group;
 };
+/// @brief The VMs that may send statements to a cold member, as this VM sees
+/// them: those that may host sessions of the member's group or, without hosts,
+/// all VMs.
+struct cold_senders {
+  std::string self;           ///< Name of this VM.
+  std::set<std::string> vms;  ///< In service.
+  /// By region, the VMs of which the `hosts` with the highest rendezvous
+  /// weights for a group may host its sessions; empty: there are no hosts.
+  std::map<std::string, std::vector<std::string>, std::less<>> candidates;
+  size_t hosts = 0;
+
+  bool operator==(const cold_senders&) const = default;
+};
 /// @brief The VMs in service changed, or how many of them connect to each
 /// member. The counts include this VM.
 struct fleet_changed {
@@ -350,6 +372,7 @@
   std::map<std::string, int, std::less<>> by_zone;
   /// VMs that connect to each database member; 0: all VMs.
   int vms_per_member = 0;
+  cold_senders senders = {};
 };
 /// @brief A position in a primary's log, reported by another VM. Every commit
 /// acknowledged before the time `covers` has a log position of at most
@@ -494,6 +517,14 @@
   size_t work = 0;        ///< Transactions and statements at its members.
 };
 
+/// @brief Why the allowed regions kept a statement from running.
+enum class placement_refusal : uint8_t {
+  kNoMember,     ///< No member of the group is in an allowed region.
+  kPrimary,      ///< The primary, which the statement needs, is not in one.
+  kTransaction,  ///< The member that runs its transaction is not in one.
+};
+std::string_view PlacementRefusalName(placement_refusal value);
+
 struct broker_metrics {
   uint64_t sessions = 0;
   uint64_t statements = 0;
@@ -504,6 +535,9 @@
   uint64_t retries = 0;
   uint64_t lagging = 0;
   uint64_t rate_refused = 0;
+  std::map<placement_refusal, uint64_t> placement_refused;
+  uint64_t sent_to_cold = 0;  ///< Statements sent to cold members.
+  uint64_t cold_refused = 0;  ///< Statements refused for lack of allowance.
   std::map<result_code, uint64_t> failures;
 };
 
--- a/src/interactive/broker.cc
+++ b/src/interactive/broker.cc
@@ -177,6 +177,8 @@
     hosted.prepared[each.name] = {each.writes, each.shape};
   }
   hosted.written = event.written;
+  hosted.entry_route_regions = event.route_regions;
+  hosted.entry_organisation_regions = event.organisation_regions;
 }
 
 void session_broker::implementation::On(const caller_sent& event) {
@@ -268,6 +270,7 @@
 void session_broker::implementation::On(const fleet_changed& event) {
   vms_ = std::max(1, event.vms);
   pool_.SetFleet(event.vms, event.by_zone, event.vms_per_member);
+  cold_.SetSenders(event.senders, now_);
   for (auto& [name, rate] : rates_) {
     rate.SetFleet(vms_);
   }
--- a/src/interactive/broker_dispatch.cc
+++ b/src/interactive/broker_dispatch.cc
@@ -46,13 +46,25 @@
       FailLink(on->id, "this VM's lease to use the primary ended");
       return false;
     }
+    if (FailMisplacedTransaction(of, *on)) {
+      return false;
+    }
+    if (!IsReadyOn(of, *on)) {
+      const member& by = *pool_.Find(on->member);
+      if (on->awaited.empty() && IsAllowanceTooLate(of, by)) {
+        RefuseCold(of, by);
+      }
+      return false;
+    }
     Dequeue(of);
     SendStatement(of, *on, std::nullopt);
     return true;
   }
   std::vector<candidate> candidates = Candidates(of);
   if (candidates.empty()) {
-    RefuseIfEvacuated(of);
+    if (!RefuseMisplaced(of)) {
+      RefuseIfEvacuated(of);
+    }
     return false;
   }
   std::stable_sort(
@@ -63,6 +75,12 @@
       queued.last_reason = fmt::format("member {} is busy", each.to->record.id);
       continue;
     }
+    if (IsCold(*each.to)) {
+      if (TryCold(of, each)) {
+        return true;
+      }
+      continue;
+    }
     if (UseCandidate(of, each)) {
       return true;
     }
@@ -78,6 +96,10 @@
       return false;
     }
   }
+  // Only the primary can run it, which is then the only candidate.
+  if (queued.primary_only && IsAllowanceTooLate(of, *candidates.front().to)) {
+    RefuseCold(of, *candidates.front().to);
+  }
   return false;
 }
 
@@ -107,6 +129,7 @@
     AddReplicas(of, found);
   }
   ExcludeEvacuated(of, found);
+  EraseMisplaced(of, found);
   return found;
 }
 
@@ -301,6 +324,7 @@
   if (statements.empty()) {
     return;
   }
+  CountColdStatements(on, statements.size());
   for (const member_statement& each : statements) {
     on.awaited.push_back({each.what, now_});
   }
--- a/src/interactive/broker_implementation.h
+++ b/src/interactive/broker_implementation.h
@@ -13,6 +13,7 @@
 #include <utility>
 #include <vector>
 
+#include "src/interactive/cold_allowance.h"
 #include "src/interactive/evacuation.h"
 #include "src/interactive/link.h"
 #include "src/interactive/member_pool.h"
@@ -20,6 +21,7 @@
 #include "src/interactive/session.h"
 #include "src/interactive/shared_rate.h"
 #include "tarragondale/interactive.h"
+#include "tarragondale/interactive/placement_rules.h"
 
 namespace tarragondale::interactive {
 
@@ -119,10 +121,43 @@
                      std::optional<log_position> minimum);
   void Send(link& on, std::vector<member_statement> statements);
   size_t LinkQuotaOf(const member& of) const;
+
+  // --- Allowed regions (broker_placement.cc) ---
+  // Those of route and organisation in the configuration in force and, in a
+  // hosted session, in that of its entry VM.
+  placement_rules RulesOf(const session& of) const;
+  bool AllowsMember(const placement_rules& rules, const member& of) const;
+  void EraseMisplaced(session& of, std::vector<candidate>& from);
+  // If no member that could run the waiting statement is in an allowed region,
+  // refuses the statement and returns true.
+  bool RefuseMisplaced(session& of);
+  // If the member that runs the session's transaction is not in an allowed
+  // region, fails the transaction as not committed and returns true.
+  bool FailMisplacedTransaction(session& of, const link& on);
   // Whether the member is the newest known primary of its group, even if this
   // VM's lease on it has expired.
   bool IsPrimary(const member& of) const;
 
+  // --- Cold members (broker_cold.cc) ---
+  // Statements per second that the member may get from all VMs; 0: no limit.
+  double ColdRate(const member& of) const;
+  bool IsCold(const member& of) const { return ColdRate(of) > 0; }
+  // Whether this VM may send a statement to the member now, cold or not.
+  bool HasAllowance(const member& to);
+  // Whether the allowance comes too late for the waiting statement.
+  bool IsAllowanceTooLate(const session& of, const member& to);
+  bool TryCold(session& of, const candidate& chosen);
+  // Whether the waiting statement may be sent on the link now. Each statement
+  // to a cold member needs an allowance: if others must be sent before, to
+  // apply session state, sends one of them and returns false.
+  bool IsReadyOn(session& of, link& on);
+  void RefuseCold(session& of, const member& to);
+  // Rolls a transaction back, or closes the link if nothing may be sent on it:
+  // to a cold member without an allowance, or to a member of a zone whose
+  // evacuation limit has passed. Returns false if the link was closed.
+  bool RollBack(link& on);
+  void CountColdStatements(const link& on, size_t statements);
+
   // --- Answers and link failures (broker_links.cc) ---
   void OnBeginAnswer(session& of, link& on, const member_answer& answer);
   void OnStatementAnswer(session& of,
@@ -187,6 +222,7 @@
   broker_options options_;
   member_pool pool_;
   evacuation_state evacuations_;
+  cold_allowance cold_;
   time_point now_;
   std::vector<action> actions_;
   broker_metrics metrics_;
--- a/src/interactive/broker_links.cc
+++ b/src/interactive/broker_links.cc
@@ -158,6 +158,16 @@
     if (of.current->as_primary && !OnLeasedPrimary(of, on)) {
       return FailLink(on.id, "this VM's lease to use the primary ended");
     }
+    if (FailMisplacedTransaction(of, on)) {
+      return;
+    }
+    if (IsCold(*pool_.Find(on.member))) {
+      // The statement waits for an allowance of its own.
+      of.current->link = 0;
+      Enqueue(of);
+      dispatch_needed_ = true;
+      return;
+    }
     return SendStatement(of, on, std::nullopt);
   }
   of.current->link = 0;
--- a/src/interactive/broker_statements.cc
+++ b/src/interactive/broker_statements.cc
@@ -313,15 +313,8 @@
   if (on == nullptr) {
     return;
   }
-  if (on->begun) {
-    on->begun = false;
-    if (evacuations_.IsPastLimit(
-            pool_.Find(on->member)->record.availability_zone, now_)) {
-      // Nothing more may be sent there; the closed link ends the transaction.
-      on->owner = 0;
-      return FailLink(held, "the member's availability zone is evacuated");
-    }
-    Send(*on, {{.what = member_statement::step::kRollback}});
+  if (on->begun && !RollBack(*on)) {
+    return;
   }
   ReleaseLink(*on);
 }
@@ -374,12 +367,11 @@
           return each.what == member_statement::step::kBegin ||
                  each.what == member_statement::step::kBeginReadOnly;
         });
-    if ((on->begun || beginning) && !committing) {
-      Send(*on, {{.what = member_statement::step::kRollback}});
+    if (!(on->begun || beginning) || committing || RollBack(*on)) {
+      on->begun = false;
+      on->owner = 0;
+      on->last_used = now_;
     }
-    on->begun = false;
-    on->owner = 0;
-    on->last_used = now_;
   }
   sessions_.erase(found);
   dispatch_needed_ = true;
--- a/src/runtime/line/store_view_test.cc
+++ b/src/runtime/line/store_view_test.cc
@@ -37,7 +37,7 @@
   }
 
   void Apply(const store::keyspace::item& item, bool removed = false) {
-    view_.Apply({{item, removed}}, "test");
+    view_.Apply({{item, removed}}, "test", TimeFromMs(0));
   }
 
   interactive::members_changed last_;
@@ -57,7 +57,7 @@
 TEST_F(StoreViewTest, FirstLoadShowsEvacuations) {
   EXPECT_FALSE(view_.loaded());
   view_.Load({Evacuation("z1"), Member("a", "z1"), Member("b", "z2")}, 5,
-             "test");
+             "test", TimeFromMs(0));
   EXPECT_TRUE(view_.loaded());
   EXPECT_EQ(published_, 1);
   EXPECT_EQ(Evacuated(), "a");
@@ -65,7 +65,7 @@
 }
 
 TEST_F(StoreViewTest, ChangesStartAndEndEvacuations) {
-  view_.Load({Member("a", "z1"), Member("b", "z2")}, 5, "test");
+  view_.Load({Member("a", "z1"), Member("b", "z2")}, 5, "test", TimeFromMs(0));
   EXPECT_EQ(Evacuated(), "");
   Apply(Evacuation("z1"));
   EXPECT_EQ(Evacuated(), "a");
@@ -84,16 +84,16 @@
 // store was restored or a watch missed the key's removal. Unlike a member that
 // leaves, an evacuated one comes back without a new start.
 TEST_F(StoreViewTest, LoadWithoutTheKeyEndsTheEvacuation) {
-  view_.Load({Evacuation("z1"), Member("a", "z1")}, 5, "test");
+  view_.Load({Evacuation("z1"), Member("a", "z1")}, 5, "test", TimeFromMs(0));
   EXPECT_EQ(Evacuated(), "a");
-  view_.Load({Member("a", "z1")}, 9, "test");
+  view_.Load({Member("a", "z1")}, 9, "test", TimeFromMs(0));
   EXPECT_EQ(Evacuated(), "");
   EXPECT_TRUE(last_.evacuated_zones.empty());
 }
 
 // Guards against a member that registers during the evacuation and gets work.
 TEST_F(StoreViewTest, MemberThatRegistersLaterIsEvacuated) {
-  view_.Load({Evacuation("z1")}, 5, "test");
+  view_.Load({Evacuation("z1")}, 5, "test", TimeFromMs(0));
   Apply(Member("a", "z1"));
   EXPECT_EQ(Evacuated(), "a");
 }
@@ -105,7 +105,7 @@
               Member("b", ""),
               {.key = "op/evacuate", .value = "z1", .revision = 3},
               {.key = "op/evacuated/z1", .value = "", .revision = 3}},
-             5, "test");
+             5, "test", TimeFromMs(0));
   EXPECT_EQ(Evacuated(), "");
   EXPECT_EQ(last_.evacuated_zones, interactive::zone_set{"z9"});
 }
