--- a/include/tarragondale/interactive.h
+++ b/include/tarragondale/interactive.h
@@ -52,7 +52,7 @@
   milliseconds max_staleness{0};
   int priority = 0;            ///< 0 is the highest.
   bool open = false;           ///< Accepts callers without an API key.
-  region_set allowed_regions;  ///< Of the members that run its statements.
+  region_set allowed_regions = {};  ///< Of the members that run its statements.
 
   bool operator==(const route&) const = default;
 };
@@ -74,7 +74,7 @@
   std::string name;
   double rate = 0;             ///< Operations per second; 0: no limit.
   double burst = 0;            ///< Operations.
-  region_set allowed_regions;  ///< Of the members that run its statements.
+  region_set allowed_regions = {};  ///< Of the members that run its statements.
 
   bool operator==(const organisation&) const = default;
 };
