Let operations wait for a token that comes soon, and spread refused callers

Refused callers were all sent back after 500 ms, and gave up after two retries. An operation whose token is expected within 15 % of its latency goal now waits, bounded and in order; a begin waits for the token of its transaction.

--- a/include/tarragondale/interactive.h
+++ b/include/tarragondale/interactive.h
@@ -488,6 +488,7 @@
   uint64_t retries = 0;
   uint64_t lagging = 0;
   uint64_t rate_refused = 0;
+  uint64_t rate_paced = 0;  ///< Operations that waited for a token.
   std::map<result_code, uint64_t> failures;
 };
 
--- a/src/interactive/broker.cc
+++ b/src/interactive/broker.cc
@@ -318,9 +318,10 @@
 
 void session_broker::implementation::On(const tick& /*event*/) {
   if (now_ >= next_sweep_) {
+    SweepPaced();
     SweepStatements();
-    next_sweep_ =
-        now_ + (active_.empty() ? kIdleSweepInterval : kSweepInterval);
+    next_sweep_ = now_ + (active_.empty() && paced_.empty() ? kIdleSweepInterval
+                                                            : kSweepInterval);
   }
   if (now_ >= next_slow_sweep_) {
     SweepSessions();
--- a/src/interactive/broker_implementation.h
+++ b/src/interactive/broker_implementation.h
@@ -5,6 +5,7 @@
 
 #include <fmt/format.h>
 
+#include <deque>
 #include <map>
 #include <set>
 #include <string>
@@ -81,12 +82,13 @@
   void HandleSet(session& of, const caller_statement& statement);
   void HandlePrepare(session& of, const caller_statement& statement);
   void HandleDeallocate(session& of, const caller_statement& statement);
-  void HandleBegin(session& of, const caller_statement& statement);
+  void HandleBegin(session& of,
+                   time_point arrived,
+                   const caller_statement& statement);
   void HandleRollback(session& of);
   void StartStatement(session& of,
                       time_point arrived,
                       caller_statement statement);
-  bool TakeRateToken(session& of, const caller_statement& statement);
   const route* RouteOf(const session& of) const;
   // Answers a statement with an error without sending it to a member, and
   // logs the reason.
@@ -102,6 +104,14 @@
   void FailStatement(session& of, result_code code, std::string reason);
   void EndSession(session_id id);
 
+  // --- Rates of organisations (broker_rates.cc) ---
+  bool TakeRateToken(session& of,
+                     time_point arrived,
+                     const caller_statement& statement);
+  void RefuseRate(session& of, const std::string& id);
+  void SweepPaced();
+  bool ResumePaced(session_id id, std::string_view organisation);
+
   // --- Selection of member and link (broker_dispatch.cc) ---
   void DispatchWaiting();
   bool TryDispatch(session& of);
@@ -177,6 +187,9 @@
   std::map<std::string, primary_lease, std::less<>> primary_leases_;
   std::map<std::string, position_history, std::less<>> positions_;
   std::map<std::string, shared_rate_limiter, std::less<>> rates_;
+  // Sessions whose statement waits for a token, by organisation, in the order
+  // of arrival. May contain sessions that have ended.
+  std::map<std::string, std::deque<session_id>, std::less<>> paced_;
   int vms_ = 1;
   std::unordered_map<session_id, session> sessions_;
   // Sessions opened before the first configuration arrived; handled when it
--- a/src/interactive/broker_statements.cc
+++ b/src/interactive/broker_statements.cc
@@ -22,7 +22,8 @@
   // Looks the session up each time, in case handling a statement removes it.
   for (auto found = sessions_.find(id);
        found != sessions_.end() && !found->second.current &&
-       !found->second.closing && !found->second.pending.empty();
+       !found->second.paced && !found->second.closing &&
+       !found->second.pending.empty();
        found = sessions_.find(id)) {
     session& next = found->second;
     auto [arrived, statement] = std::move(next.pending.front());
@@ -74,7 +75,7 @@
       return HandleDeallocate(of, statement);
     case kBegin:
     case kBeginReadOnly:
-      return HandleBegin(of, statement);
+      return HandleBegin(of, arrived, statement);
     case kMalformed:
     case kRollback:
       return Refuse(of, statement.id, result_code::kStatementMalformed,
@@ -173,12 +174,13 @@
 // holds no connection until then.
 void session_broker::implementation::HandleBegin(
     session& of,
+    time_point arrived,
     const caller_statement& statement) {
   if (of.open) {
     return Refuse(of, statement.id, result_code::kStatementMalformed,
                   "a transaction is already open");
   }
-  if (!TakeRateToken(of, statement)) {
+  if (!TakeRateToken(of, arrived, statement)) {
     return;
   }
   transaction begun;
@@ -231,7 +233,7 @@
     return Refuse(of, statement.id, result_code::kReadOnlyViolation,
                   "the transaction is read-only");
   }
-  if (!of.open && !TakeRateToken(of, statement)) {
+  if (!of.open && !TakeRateToken(of, arrived, statement)) {
     return;
   }
   started.primary_only = started.writes ||
@@ -255,24 +257,6 @@
   TryDispatch(of);
 }
 
-bool session_broker::implementation::TakeRateToken(
-    session& of,
-    const caller_statement& statement) {
-  const auto found = rates_.find(of.organisation);
-  if (found == rates_.end() ||
-      configuration_->organisations.at(of.organisation).rate <= 0) {
-    return true;
-  }
-  if (found->second.TryAcquire(now_)) {
-    return true;
-  }
-  ++metrics_.rate_refused;
-  Refuse(of, statement.id, result_code::kRateExceeded,
-         fmt::format("organisation {} exceeded its rate; retry after {} ms",
-                     of.organisation, int64_t{500}));
-  return false;
-}
-
 const route* session_broker::implementation::RouteOf(const session& of) const {
   const auto found = configuration_->routes.find(of.database);
   return found == configuration_->routes.end() ? nullptr : &found->second;
--- a/src/interactive/broker_test.cc
+++ b/src/interactive/broker_test.cc
@@ -1,6 +1,9 @@
 // Tests of the session broker.
 #include <gtest/gtest.h>
 
+#include <set>
+#include <string>
+
 #include "src/interactive/broker_harness.h"
 
 namespace tarragondale::interactive {
@@ -667,5 +670,93 @@
   EXPECT_EQ(refused, 0);
 }
 
+// A fleet of one VM whose organisation "red" has 100 operations per second, of
+// which the burst is spent.
+struct spent_rate {
+  broker_harness test;
+  spent_rate() {
+    test.configuration().organisations["red"] = {"red", 100, 100};
+    test.configuration().version = 2;
+    test.Configure();
+    for (session_id each = 1; each <= 150; ++each) {
+      test.Open(each, "strict");
+      if (each <= 100) {
+        test.Send(each, kRead, "READ a");
+      }
+    }
+    test.AnswerAll();
+  }
+  // Number of new answers.
+  size_t Answered(session_id id) { return test.TakeAnswers(id).size(); }
+};
+
+// Guards against refusing operations whose token comes within milliseconds. The
+// queue is bounded, and served in the order of arrival.
+TEST(BrokerTest, OperationsSlightlyBeyondTheRateWaitForTheirToken) {
+  spent_rate fleet;
+  std::set<std::string> retries;
+  for (session_id each = 101; each <= 120; ++each) {
+    fleet.test.Send(each, kRead, "READ a");
+    if (each <= 107) {
+      EXPECT_EQ(fleet.Answered(each), 0U) << each;
+    } else {
+      const answer_caller refused = fleet.test.LastAnswer(each);
+      EXPECT_EQ(refused.code, result_code::kRateExceeded);
+      retries.insert(refused.reason);
+    }
+  }
+  // Callers come back at different times.
+  EXPECT_GE(retries.size(), 10U);
+  fleet.test.AdvanceTime(milliseconds(40));
+  fleet.test.AnswerAll();
+  EXPECT_EQ(fleet.Answered(101), 1U);
+  EXPECT_EQ(fleet.Answered(107), 0U);
+  fleet.test.AdvanceTime(milliseconds(40));
+  fleet.test.AnswerAll();
+  for (session_id each = 105; each <= 107; ++each) {
+    EXPECT_EQ(fleet.test.LastAnswer(each).code, result_code::kOk) << each;
+  }
+}
+
+// Guards against a later statement of a transaction that takes a token or waits
+// for one, and against statements that overtake a begin.
+TEST(BrokerTest, BeginWaitsForTheTokenOfItsTransaction) {
+  spent_rate fleet;
+  fleet.test.Send(101, kBegin);
+  fleet.test.Send(101, kRead, "READ a");
+  fleet.test.Send(101, kCommit);
+  EXPECT_EQ(fleet.Answered(101), 0U);
+  fleet.test.AdvanceTime(milliseconds(20));
+  EXPECT_EQ(fleet.test.LastAnswer(101).state, transaction_state::kOpen);
+  fleet.test.AnswerAll();
+  fleet.test.AnswerAll();
+  const auto answers = fleet.test.TakeAnswers(101);
+  ASSERT_EQ(answers.size(), 2U);
+  EXPECT_EQ(answers.back().code, result_code::kOk);
+  EXPECT_EQ(answers.back().state, transaction_state::kIdle);
+}
+
+TEST(BrokerTest, EndedSessionsLeaveTheirTurnToOthers) {
+  spent_rate fleet;
+  fleet.test.Send(101, kRead, "READ a");
+  fleet.test.Send(102, kRead, "READ a");
+  fleet.test.Step(caller_closed{101});
+  fleet.test.AdvanceTime(milliseconds(20));
+  fleet.test.AnswerAll();
+  EXPECT_EQ(fleet.Answered(102), 1U);
+}
+
+// Guards against running an operation for a key that was withdrawn while it
+// waited for its token.
+TEST(BrokerTest, KeyIsCheckedAgainAfterTheWaitForAToken) {
+  spent_rate fleet;
+  fleet.test.Send(101, kRead, "READ a");
+  fleet.test.configuration().organisations_by_key.erase("key-red");
+  fleet.test.configuration().version = 3;
+  fleet.test.Configure();
+  fleet.test.AdvanceTime(milliseconds(40));
+  EXPECT_EQ(fleet.test.LastAnswer(101).code, result_code::kKeyInvalid);
+}
+
 }  // namespace
 }  // namespace tarragondale::interactive
--- a/src/interactive/broker_timers.cc
+++ b/src/interactive/broker_timers.cc
@@ -178,7 +178,7 @@
       std::chrono::duration_cast<duration>(now_ - *draining_since_);
   std::vector<session_id> ends;
   for (auto& [id, of] : sessions_) {
-    const bool idle = !of.current && of.pending.empty();
+    const bool idle = !of.current && !of.paced && of.pending.empty();
     if (of.open && !of.open->failed && idle &&
         since > options_.drain_transactions) {
       FailTransaction(of);
--- a/src/interactive/session.h
+++ b/src/interactive/session.h
@@ -39,6 +39,13 @@
   std::string last_reason;  ///< Why it has not run yet; for error messages.
 };
 
+/// @brief A statement that waits for a token of its organisation's rate.
+struct paced_statement {
+  time_point arrived;
+  time_point until;  ///< It is refused then.
+  caller_statement statement;
+};
+
 /// @brief An open transaction. The member is chosen at its first statement.
 struct transaction {
   bool read_only = false;
@@ -59,6 +66,8 @@
   std::map<std::string, prepared_statement, std::less<>> prepared;
   log_position written;  ///< Log position of its newest commit.
   std::deque<std::pair<time_point, caller_statement>> pending;
+  std::optional<paced_statement> paced;
+  bool has_token = false;  ///< For the statement that is being handled.
   std::optional<active_statement> current;
   std::optional<transaction> open;
   // Set when the session is being closed. The caller sees that it ended, so
--- a/src/runtime/line/line_daemon.cc
+++ b/src/runtime/line/line_daemon.cc
@@ -410,6 +410,9 @@
         metrics.lagging);
     set("tarragondale_rate_refused", "Operations beyond a rate.",
         metrics.rate_refused);
+    set("tarragondale_rate_paced",
+        "Operations that waited for a token of their rate.",
+        metrics.rate_paced);
     if (const auto& configuration = fleet_.view().configuration_snapshot()) {
       set("tarragondale_configuration_version",
           "Version of the configuration in force.",
