--- a/include/tarragondale/interactive.h
+++ b/include/tarragondale/interactive.h
@@ -391,6 +391,12 @@
   std::string vm;
   int counted_vms = 1;  ///< VMs whose operations the report counts.
 };
+/// @brief A VM reported the operations of `counted_vms` VMs. Organisations for
+/// which no `usage_reported` came with it have none that are not known.
+struct vms_heard {
+  std::string vm;
+  int counted_vms = 1;
+};
 /// @brief Requests a member's status; answered by `member_checked`.
 struct check_member {
   std::string member;
@@ -424,6 +430,7 @@
                            fleet_changed,
                            position_reported,
                            usage_reported,
+                           vms_heard,
                            check_member,
                            demote_member,
                            options_changed,
@@ -535,6 +542,7 @@
   uint64_t retries = 0;
   uint64_t lagging = 0;
   uint64_t rate_refused = 0;
+  uint64_t rate_paced = 0;  ///< Operations that waited for a token.
   std::map<placement_refusal, uint64_t> placement_refused;
   uint64_t sent_to_cold = 0;  ///< Statements sent to cold members.
   uint64_t cold_refused = 0;  ///< Statements refused for lack of allowance.
--- a/src/interactive/broker.cc
+++ b/src/interactive/broker.cc
@@ -290,6 +290,12 @@
   }
 }
 
+void session_broker::implementation::On(const vms_heard& event) {
+  for (auto& [name, rate] : rates_) {
+    rate.OnHeard(event.vm, event.counted_vms, now_);
+  }
+}
+
 // --- Members ---
 
 void session_broker::implementation::On(const check_member& event) {
@@ -323,9 +329,10 @@
 
 void session_broker::implementation::On(const tick& /*event*/) {
   if (now_ >= next_sweep_) {
+    SweepPaced();
     SweepStatements();
-    next_sweep_ =
-        now_ + (active_.empty() ? kIdleSweepInterval : kSweepInterval);
+    next_sweep_ = now_ + (active_.empty() && paced_.empty() ? kIdleSweepInterval
+                                                            : kSweepInterval);
   }
   if (now_ >= next_slow_sweep_) {
     SweepSessions();
--- a/src/runtime/line/line_daemon.cc
+++ b/src/runtime/line/line_daemon.cc
@@ -418,6 +418,9 @@
         metrics.lagging);
     set("tarragondale_rate_refused", "Operations beyond a rate.",
         metrics.rate_refused);
+    set("tarragondale_rate_paced",
+        "Operations that waited for a token of their rate.",
+        metrics.rate_paced);
     set("tarragondale_sent_to_cold", "Statements sent to cold members.",
         metrics.sent_to_cold);
     set("tarragondale_cold_refused",
