--- a/include/tarragondale/interactive.h
+++ b/include/tarragondale/interactive.h
@@ -50,9 +50,9 @@
   milliseconds statement_timeout{1'000};
   milliseconds latency_goal{500};  ///< For a complete operation.
   milliseconds max_staleness{0};
-  int priority = 0;            ///< 0 is the highest.
-  bool open = false;           ///< Accepts callers without an API key.
-  region_set allowed_regions;  ///< Of the members that run its statements.
+  int priority = 0;                 ///< 0 is the highest.
+  bool open = false;                ///< Accepts callers without an API key.
+  region_set allowed_regions = {};  ///< Of the members that run its statements.
 
   bool operator==(const route&) const = default;
 };
@@ -72,9 +72,9 @@
 /// @brief An organisation and its rate limit, shared by all VMs.
 struct organisation {
   std::string name;
-  double rate = 0;             ///< Operations per second; 0: no limit.
-  double burst = 0;            ///< Operations.
-  region_set allowed_regions;  ///< Of the members that run its statements.
+  double rate = 0;                  ///< Operations per second; 0: no limit.
+  double burst = 0;                 ///< Operations.
+  region_set allowed_regions = {};  ///< Of the members that run its statements.
 
   bool operator==(const organisation&) const = default;
 };
