--- a/include/tarragondale/interactive.h
+++ b/include/tarragondale/interactive.h
@@ -211,6 +211,12 @@
   std::optional<member_status> status;   ///< After `kStatus`, `kDemote`.
 };
 
+/// @brief How the statements that a member takes well are found out.
+enum class member_capacity : uint8_t {
+  kReported,  ///< By its `kBusy` answers.
+  kLearned,   ///< Also by its response times.
+};
+
 /// @brief Limits and intervals of `session_broker`.
 struct broker_options {
   std::string availability_zone;
@@ -242,6 +248,7 @@
   /// After the member refused a connection, for whatever reason.
   duration connection_cap_backoff = milliseconds(200);
   duration busy_backoff = milliseconds(25);
+  member_capacity capacity = member_capacity::kReported;
   /// A primary that has been draining or unlisted for longer than this gets
   /// statements only for transactions that are already open on it.
   duration member_drain_timeout = milliseconds(5'000);
@@ -465,6 +472,13 @@
   time_point covers;
 };
 
+/// @brief What this VM has learned about a member.
+struct member_capacity_estimate {
+  std::string member;
+  double limit = 1;           ///< Statements of this VM in flight; at least 1.
+  duration response_time{0};  ///< Expected, of the statement answered last.
+};
+
 /// @brief Use of an organisation's rate on this VM.
 struct organisation_usage {
   uint64_t admitted = 0;    ///< Operations since process start.
@@ -523,6 +537,10 @@
   std::map<std::string, organisation_usage, std::less<>> Usage(
       time_point now) const;
 
+  /// @brief What this VM has learned about the listed members that have
+  /// answered its statements. Empty unless the capacity is learned.
+  std::vector<member_capacity_estimate> Capacities(time_point now) const;
+
   /// @brief Number of links to the primary of `group` that run a transaction or
   /// a statement, or roll a transaction back. 0 if the primary's epoch is at
   /// least `epoch`.
--- a/src/interactive/broker.cc
+++ b/src/interactive/broker.cc
@@ -39,6 +39,11 @@
   return implementation_->Usage(now);
 }
 
+std::vector<member_capacity_estimate> session_broker::Capacities(
+    time_point now) const {
+  return implementation_->Capacities(now);
+}
+
 size_t session_broker::CountPrimaryWork(std::string_view group,
                                         int64_t epoch) const {
   return implementation_->CountPrimaryWork(group, epoch);
--- a/src/interactive/broker_dispatch.cc
+++ b/src/interactive/broker_dispatch.cc
@@ -58,7 +58,7 @@
       candidates.begin(), candidates.end(),
       [](const candidate& a, const candidate& b) { return a.cost < b.cost; });
   for (const candidate& each : candidates) {
-    if (!pool_.Admits(*each.to)) {
+    if (!pool_.Admits(*each.to, now_)) {
       queued.last_reason = fmt::format("member {} is busy", each.to->record.id);
       continue;
     }
@@ -72,7 +72,7 @@
     }
     const link* const opening_link = queued.opening_link == 0
                                          ? nullptr
-                                         : pool_.FindLink(queued.opening_link);
+                                         : pool_.PeekLink(queued.opening_link);
     if (opening_link != nullptr && opening_link->member == each.to->record.id) {
       return false;
     }
@@ -162,19 +162,15 @@
 // the organisation has no idle one.
 duration session_broker::implementation::CostOf(const session& of,
                                                 const member& to) const {
-  const auto running = std::count_if(
-      to.links.begin(), to.links.end(),
-      [&](link_id id) { return !pool_.links().at(id).awaited.empty(); });
-  const duration queue =
-      to.service_time * running / std::max(1, to.record.slots);
-  duration cost =
-      pool_.RoundTrip(to) + pool_.TransferPenalty(to) + to.service_time + queue;
-  const bool has_link =
-      std::any_of(to.links.begin(), to.links.end(), [&](link_id id) {
-        const link& each = pool_.links().at(id);
-        return each.idle() && each.organisation == of.organisation;
-      });
-  if (!has_link) {
+  const member_load& load = pool_.LoadOf(to);
+  duration cost = pool_.RoundTrip(to) + pool_.TransferPenalty(to);
+  if (options_.capacity == member_capacity::kLearned) {
+    cost += ExpectedAtMember(of, to);
+  } else {
+    cost += to.service_time +
+            to.service_time * load.awaiting / std::max(1, to.record.slots);
+  }
+  if (!load.HasIdle(of.organisation)) {
     cost += 2 * pool_.RoundTrip(to) + kHandshakeCost + LongestOpening(to);
   }
   return cost;
@@ -185,15 +181,9 @@
 // is needed, so that a member that does not respond eventually ranks last.
 duration session_broker::implementation::LongestOpening(
     const member& to) const {
-  duration longest{0};
-  for (const link_id id : to.links) {
-    const link& each = pool_.links().at(id);
-    if (!each.open) {
-      longest = std::max(
-          longest, std::chrono::duration_cast<duration>(now_ - each.opened_at));
-    }
-  }
-  return longest;
+  const std::optional<time_point> since = pool_.LoadOf(to).opening_since;
+  return since ? std::chrono::duration_cast<duration>(now_ - *since)
+               : duration(0);
 }
 
 bool session_broker::implementation::UseCandidate(session& of,
@@ -245,6 +235,7 @@
                                                 const candidate& chosen) {
   Dequeue(of);
   on.owner = of.id;
+  pool_.Touch(on);
   of.current->opening_link = 0;
   of.current->as_primary = chosen.as_primary;
   ++of.current->attempts;
@@ -290,7 +281,9 @@
   if (of.open) {
     of.open->last_used = now_;
   }
+  const int ahead = pool_.Running(*pool_.Find(on.member));
   Send(on, std::move(statements));
+  on.awaited.back().ahead = ahead;
 }
 
 void session_broker::implementation::Send(
@@ -303,6 +296,7 @@
     on.awaited.push_back({each.what, now_});
   }
   on.last_used = now_;
+  pool_.Touch(on);
   if (!actions_.empty()) {
     // Consecutive statements for a link are sent in one write.
     auto* const last = std::get_if<send_link>(&actions_.back());
--- a/src/interactive/broker_implementation.h
+++ b/src/interactive/broker_implementation.h
@@ -18,6 +18,7 @@
 #include "src/interactive/position_history.h"
 #include "src/interactive/session.h"
 #include "src/interactive/shared_rate.h"
+#include "src/interactive/work_baselines.h"
 #include "tarragondale/interactive.h"
 
 namespace tarragondale::interactive {
@@ -33,6 +34,7 @@
   std::map<std::string, observed_position, std::less<>> Positions() const;
   std::map<std::string, organisation_usage, std::less<>> Usage(
       time_point now) const;
+  std::vector<member_capacity_estimate> Capacities(time_point now) const;
   size_t CountPrimaryWork(std::string_view group, int64_t epoch) const;
   std::vector<action> StopPrimaryWork(time_point now,
                                       std::string_view group,
@@ -121,6 +123,16 @@
   // VM's lease on it has expired.
   bool IsPrimary(const member& of) const;
 
+  // --- Learned capacity of members (broker_capacity.cc) ---
+  static work_key WorkOf(const session& of, bool in_transaction);
+  duration ExpectedAtMember(const session& of, const member& to) const;
+  void LearnResponse(const session& of,
+                     const link& on,
+                     const awaited_answer& awaited,
+                     member_code code);
+  void LearnUnanswered(const session& of);
+  void LogLimit(member& of);
+
   // --- Answers and link failures (broker_links.cc) ---
   void OnBeginAnswer(session& of, link& on, const member_answer& answer);
   void OnStatementAnswer(session& of,
@@ -169,6 +181,7 @@
 
   broker_options options_;
   member_pool pool_;
+  work_baselines work_;
   time_point now_;
   std::vector<action> actions_;
   broker_metrics metrics_;
--- a/src/interactive/broker_links.cc
+++ b/src/interactive/broker_links.cc
@@ -141,6 +141,7 @@
   if (IsCallersStatement(awaited.what)) {
     const auto took = std::chrono::duration_cast<duration>(now_ - awaited.sent);
     of->service_time += (took - of->service_time) / kServiceTimeSamples;
+    LearnResponse(owner->second, *on, awaited, event.answer.code);
     return OnStatementAnswer(owner->second, *on, awaited, event.answer);
   }
   if (event.answer.code != member_code::kDone) {
@@ -323,6 +324,7 @@
   of.owner = 0;
   of.begun = false;
   of.last_used = now_;
+  pool_.Touch(of);
   dispatch_needed_ = true;
 }
 
--- a/src/interactive/broker_timers.cc
+++ b/src/interactive/broker_timers.cc
@@ -70,6 +70,7 @@
                                              : late.last_reason,
                     ToMs(options_.member_backoff)));
   }
+  LearnUnanswered(of);
   // The answer may still arrive on the link, so the link cannot be reused.
   const link_id on = late.link;
   const bool begun = pool_.FindLink(on)->begun;
@@ -99,6 +100,7 @@
       late.attempts >= options_.max_attempts) {
     return false;
   }
+  LearnUnanswered(of);
   FailLink(late.link, "no answer arrived in time");
   return true;
 }
--- a/src/interactive/link.h
+++ b/src/interactive/link.h
@@ -16,6 +16,9 @@
 struct awaited_answer {
   member_statement::step what = member_statement::step::kRun;
   time_point sent;
+  /// Other statements and connection attempts of this VM in flight at the
+  /// member when it was sent. Only for callers' statements.
+  int ahead = 0;
 };
 
 /// @brief A pooled connection to a member.
--- a/src/interactive/member_pool.cc
+++ b/src/interactive/member_pool.cc
@@ -44,6 +44,8 @@
       outdated.insert(outdated.end(), known.links.begin(), known.links.end());
       known.health = {};
       known.limit = {};
+      known.capacity = {};
+      known.shortest_response = {};
       known.applied.reset();
       known.retry_at = now;
     }
@@ -96,10 +98,25 @@
 }
 
 link* member_pool::FindLink(link_id id) {
+  const auto found = links_.find(id);
+  if (found == links_.end()) {
+    return nullptr;
+  }
+  Touch(found->second);
+  return &found->second;
+}
+
+const link* member_pool::PeekLink(link_id id) const {
   const auto found = links_.find(id);
   return found == links_.end() ? nullptr : &found->second;
 }
 
+void member_pool::Touch(const link& changed) {
+  if (const member* const of = Find(changed.member)) {
+    of->load.reset();
+  }
+}
+
 const std::vector<std::string>& member_pool::OfGroup(
     std::string_view group) const {
   const auto found = groups_.find(group);
@@ -116,16 +133,18 @@
   added.opened_at = now;
   added.last_used = now;
   of.links.insert(added.id);
+  of.load.reset();
   return added;
 }
 
 void member_pool::RemoveLink(link_id id) {
-  const link* const removed = FindLink(id);
+  const link* const removed = PeekLink(id);
   if (removed == nullptr) {
     return;
   }
   if (member* const of = Find(removed->member)) {
     of->links.erase(id);
+    of->load.reset();
   }
   links_.erase(id);
 }
@@ -133,6 +152,10 @@
 link* member_pool::FindIdle(const member& of,
                             std::string_view organisation,
                             const session& wanted) {
+  if (!LoadOf(of).HasIdle(organisation)) {
+    return nullptr;
+  }
+  of.load.reset();  // The caller may change the link.
   link* best = nullptr;
   for (const link_id id : of.links) {
     link& each = links_.at(id);
@@ -149,16 +172,61 @@
   return best;
 }
 
-int member_pool::Running(const member& of) const {
-  return static_cast<int>(
-      std::count_if(of.links.begin(), of.links.end(), [&](link_id id) {
-        const link& each = links_.at(id);
-        return !each.open || !each.awaited.empty();
-      }));
+const member_load& member_pool::LoadOf(const member& of) const {
+  if (of.load) {
+    return *of.load;
+  }
+  member_load counted;
+  for (const link_id id : of.links) {
+    const link& each = links_.at(id);
+    if (!each.open) {
+      counted.opening_since = std::min(
+          counted.opening_since.value_or(each.opened_at), each.opened_at);
+    }
+    if (!each.awaited.empty()) {
+      ++counted.awaiting;
+      const time_point sent = each.awaited.front().sent;
+      counted.sent = std::min(counted.sent.value_or(sent), sent);
+    }
+    if (!each.open || !each.awaited.empty()) {
+      ++counted.running;
+    }
+    if (each.idle() && !counted.HasIdle(each.organisation)) {
+      counted.idle.push_back(each.organisation);
+    }
+  }
+  of.load = std::move(counted);
+  return *of.load;
+}
+
+bool member_load::HasIdle(std::string_view organisation) const {
+  return std::find(idle.begin(), idle.end(), organisation) != idle.end();
+}
+
+bool member_pool::Admits(const member& of, time_point now) const {
+  const int running = Running(of);
+  return of.limit.Allows(running) &&
+         (options_.capacity == member_capacity::kReported ||
+          running < of.capacity.Limit(CapacityCapOf(of), now));
+}
+
+double member_pool::CapacityCapOf(const member& of) const {
+  // The real round trip may be longer than the configured one. The shortest
+  // response time is an upper bound.
+  const duration round_trip =
+      std::max(RoundTrip(of), of.shortest_response.value());
+  return CapacityCap(of.record.slots, round_trip,
+                     of.average_response - round_trip);
 }
 
 link* member_pool::FindReplaceable(const member& of,
                                    std::string_view organisation) {
+  const std::vector<std::string>& idle = LoadOf(of).idle;
+  if (std::all_of(idle.begin(), idle.end(),
+                  [&](const auto& each) { return each == organisation; })) {
+    return nullptr;
+  }
+  of.load.reset();  // The caller may change the link.
   link* oldest = nullptr;
   for (const link_id id : of.links) {
     link& each = links_.at(id);
--- a/src/interactive/member_pool.h
+++ b/src/interactive/member_pool.h
@@ -8,13 +8,27 @@
 #include <unordered_map>
 #include <vector>
 
+#include "src/interactive/capacity_estimate.h"
 #include "src/interactive/concurrency_limit.h"
 #include "src/interactive/link.h"
 #include "src/interactive/position_history.h"
+#include "src/interactive/recent_minimum.h"
 #include "tarragondale/interactive.h"
 
 namespace tarragondale::interactive {
 
+/// @brief Counts over the links to a member.
+struct member_load {
+  int running = 0;   ///< Links that await an answer or are being opened.
+  int awaiting = 0;  ///< Links that await an answer.
+  std::optional<time_point> opening_since;  ///< Oldest connection attempt.
+  std::optional<time_point> sent;           ///< Oldest unanswered statement.
+  std::vector<std::string> idle;  ///< Organisations that have an idle link.
+
+  bool HasIdle(std::string_view organisation) const;
+  bool operator==(const member_load&) const = default;
+};
+
 /// @brief A member and its state as seen by this VM.
 struct member {
   member_record record;
@@ -32,7 +46,17 @@
   std::optional<time_point> lagging_at;      ///< Last `kLagging` answer.
   duration service_time = milliseconds(15);  ///< Moving average.
   concurrency_limit limit;
+  capacity_estimate capacity;
+  recent_minimum shortest_response;
+  /// As `service_time`, over more statements.
+  duration average_response = milliseconds(15);
+  /// Expected response time of the statement answered last; for metrics.
+  duration expected_response{0};
+  double logged_limit = 0;  ///< 0: none.
+  std::optional<time_point> limit_logged_at;
   std::set<link_id> links;
+  /// Cached by `member_pool::LoadOf`; empty: to be counted.
+  mutable std::optional<member_load> load;
 };
 
 /// @brief Owns links and members. Does not route statements.
@@ -52,7 +76,12 @@
 
   member* Find(std::string_view id);
   const member* Find(std::string_view id) const;
+  /// @brief The caller may change the link until it calls `LoadOf`; for later
+  /// changes it must call `Touch`.
   link* FindLink(link_id id);
+  const link* PeekLink(link_id id) const;
+  /// @brief A link to the member has changed.
+  void Touch(const link& changed);
   std::map<std::string, member, std::less<>>& members() { return members_; }
   const std::map<std::string, member, std::less<>>& members() const {
     return members_;
@@ -71,14 +100,19 @@
                  std::string_view organisation,
                  const session& wanted);
 
+  /// @brief Counts over the member's links. Constant time unless one changed
+  /// since the last call, so that many waiting statements can be compared.
+  const member_load& LoadOf(const member& of) const;
+
   /// @brief Number of links that await an answer or are being opened.
-  int Running(const member& of) const;
+  int Running(const member& of) const { return LoadOf(of).running; }
 
-  /// @brief Whether the member's concurrency limit, if one is active, admits
-  /// another statement.
-  bool Admits(const member& of) const {
-    return !of.limit.active() || of.limit.Allows(Running(of));
-  }
+  /// @brief Whether the member's concurrency limit, if one is active, and its
+  /// learned capacity admit another statement.
+  bool Admits(const member& of, time_point now) const;
+
+  /// @brief Highest value of the member's learned limit.
+  double CapacityCapOf(const member& of) const;
 
   /// @brief The least recently used idle link of another organisation. Null if
   /// there is none.
