--- a/include/tarragondale/config/settings.h
+++ b/include/tarragondale/config/settings.h
@@ -21,6 +21,12 @@
   kLine,  ///< The line protocol and the store of the platform in `platform/`.
 };
 
+/// @brief How the load that a database member takes well is found out.
+enum class capacity_source : uint8_t {
+  kReported,  ///< The member answers that it is busy.
+  kLearned,   ///< Also from its response times.
+};
+
 /// @brief All settings with their defaults. Members without a default must be
 /// in the file, if the chosen edge uses them.
 struct settings {
@@ -55,6 +61,7 @@
   int64_t leaving_ms = 7000;
   int64_t grace_ms = 6000;
   int64_t open_files = 4096;
+  capacity_source member_capacity = capacity_source::kReported;
 
   bool operator==(const settings&) const = default;
 };
@@ -70,13 +77,15 @@
   kLogLevel,
   kEdge,
   kZoneList,  ///< `zone:region`, separated by commas.
+  kCapacitySource,
 };
 
 using setting_member = std::variant<std::string settings::*,
                                     int64_t settings::*,
                                     std::vector<std::string> settings::*,
                                     log_level settings::*,
-                                    edge_kind settings::*>;
+                                    edge_kind settings::*,
+                                    capacity_source settings::*>;
 
 /// @brief One row of the table of settings.
 struct setting_info {
--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -88,6 +88,12 @@
       value.*std::get<edge_kind settings::*>(row.member) = edge;
       return text == EdgeName(edge);
     }
+    case setting_type::kCapacitySource: {
+      const bool learned = text == "learned";
+      value.*std::get<capacity_source settings::*>(row.member) =
+          learned ? capacity_source::kLearned : capacity_source::kReported;
+      return learned || text == "reported";
+    }
     case setting_type::kZoneList: {
       auto& list =
           value.*std::get<std::vector<std::string> settings::*>(row.member);
--- a/src/config/settings_table.cc
+++ b/src/config/settings_table.cc
@@ -94,9 +94,16 @@
      "Time from SIGTERM until the process is killed.", kLine, kLive},
     {"line", "open_files", kInteger, &settings::open_files, "", 256, 1000000,
      "Descriptors that the process may use.", kLine, kLive},
+    {"line", "member_capacity", kCapacitySource, &settings::member_capacity, "",
+     0, 0,
+     "How the load that a database member takes well is found out: from its "
+     "busy answers, or also from its response times.",
+     kLine},
 });
 
 constexpr std::array<std::string_view, 2> kEdges = {"http", "line"};
+constexpr std::array<std::string_view, 2> kCapacitySources = {"reported",
+                                                              "learned"};
 constexpr std::array<std::string_view, 4> kLevels = {"debug", "info", "warning",
                                                      "error"};
 
@@ -124,6 +131,8 @@
       return fmt::format("{}", fmt::join(kEdges, ", "));
     case kZoneList:
       return "zone:region, separated by commas";
+    case kCapacitySource:
+      return fmt::format("{}", fmt::join(kCapacitySources, ", "));
     case kInteger:
       break;
   }
@@ -142,6 +151,11 @@
   if (const auto* edge = std::get_if<edge_kind settings::*>(&row.member)) {
     return std::string(EdgeName(defaults.**edge));
   }
+  if (const auto* source =
+          std::get_if<capacity_source settings::*>(&row.member)) {
+    return std::string(
+        kCapacitySources[static_cast<size_t>(defaults.**source)]);
+  }
   return "";
 }
 
--- a/src/runtime/line/line_daemon.cc
+++ b/src/runtime/line/line_daemon.cc
@@ -19,6 +19,7 @@
 #include "src/runtime/line/http_channel.h"
 #include "src/runtime/line/log_output.h"
 #include "src/runtime/line/member_links.h"
+#include "src/runtime/line/member_metrics.h"
 #include "src/runtime/line/readiness_server.h"
 #include "src/runtime/line/store_call.h"
 #include "src/runtime/system_sources.h"
@@ -73,6 +74,10 @@
   options.drain_transactions = grace / 2;
   options.drain_limit = std::max(grace / 2, grace - kDrainMargin);
   options.drain_notice = std::min(options.drain_notice, grace / 2);
+  options.capacity =
+      settings.member_capacity == config::capacity_source::kLearned
+          ? interactive::member_capacity::kLearned
+          : interactive::member_capacity::kReported;
   return options;
 }
 
@@ -426,7 +431,8 @@
                  {{"code", std::string(InfoOf(code).name)}})
           .Set(static_cast<int64_t>(count));
     }
-    return registry_.PrometheusText();
+    return registry_.PrometheusText() +
+           MemberMetricsText(broker_.Capacities(BootNow()));
   }
 
   void WaitForSignal() {
