--- a/src/interactive/capacity_estimate_test.cc
+++ b/src/interactive/capacity_estimate_test.cc
@@ -59,8 +59,8 @@
   capacity_estimate estimate;
   sampler samples;
   for (int i = 1; i < 60; ++i) {
-    samples.Add(estimate, 50,
-                static_cast<int>(estimate.Limit(kCap, samples.now())), 12);
+    const double limit = estimate.Limit(kCap, samples.now());
+    samples.Add(estimate, 50, static_cast<int>(limit), 12);
     EXPECT_GE(estimate.Limit(kCap, samples.now()), 1);
   }
 }
--- a/src/interactive/member_model.h
+++ b/src/interactive/member_model.h
@@ -214,8 +214,8 @@
 
   /// @brief Random arrivals at `rate` per second on each VM until `end`.
   void Arrivals(size_t vm,
-                std::function<std::string()> database,
-                std::function<duration()> mean,
+                const std::function<std::string()>& database,
+                const std::function<duration()>& mean,
                 double rate,
                 time_point end) {
     const double pause = std::exponential_distribution<double>(rate)(random_);
