--- a/src/interactive/broker_implementation.h
+++ b/src/interactive/broker_implementation.h
@@ -21,6 +21,7 @@
 #include "src/interactive/position_history.h"
 #include "src/interactive/session.h"
 #include "src/interactive/shared_rate.h"
+#include "src/interactive/work_baselines.h"
 #include "tarragondale/interactive.h"
 #include "tarragondale/interactive/placement_rules.h"
 
@@ -37,6 +38,7 @@
   std::map<std::string, observed_position, std::less<>> Positions() const;
   std::map<std::string, organisation_usage, std::less<>> Usage(
       time_point now) const;
+  std::vector<member_capacity_estimate> Capacities(time_point now) const;
   size_t CountPrimaryWork(std::string_view group, int64_t epoch) const;
   std::map<std::string, zone_evacuation, std::less<>> Evacuations() const;
   std::vector<action> StopPrimaryWork(time_point now,
@@ -169,6 +171,16 @@
   bool RollBack(link& on);
   void CountColdStatements(const link& on, size_t statements);
 
+  // --- Learned capacity of members (broker_capacity.cc) ---
+  static work_key WorkOf(const session& of, bool in_transaction);
+  duration ExpectedAtMember(const session& of, const member& to) const;
+  void LearnResponse(const session& of,
+                     const link& on,
+                     const awaited_answer& awaited,
+                     member_code code);
+  void LearnUnanswered(const session& of);
+  void LogLimit(member& of);
+
   // --- Answers and link failures (broker_links.cc) ---
   void OnBeginAnswer(session& of, link& on, const member_answer& answer);
   void OnStatementAnswer(session& of,
@@ -234,6 +246,7 @@
   member_pool pool_;
   evacuation_state evacuations_;
   cold_allowance cold_;
+  work_baselines work_;
   time_point now_;
   std::vector<action> actions_;
   broker_metrics metrics_;
