Allocate for a message between VMs only what its bytes cover

The decoder allocated for the length that an array claims, at each level of nesting, and a struct for each element before it had decoded one. A forged message of 75 bytes made it allocate 480 MB, one of 1 MiB 94 MB (tests ForgedNestedLengthsAllocateNothing, ForgedElementsAllocateNoStructs, which allow 64 MB).

--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -105,11 +105,15 @@
   if (in.type != msgpack::type::ARRAY) {
     return false;
   }
-  value.resize(in.via.array.size);
+  // Grows with the elements that decode, since a forged element may take one
+  // byte where the struct takes hundreds.
+  value.clear();
   for (uint32_t i = 0; i < in.via.array.size; ++i) {
-    if (!Unpack(in.via.array.ptr[i], value[i])) {
+    T element{};
+    if (!Unpack(in.via.array.ptr[i], element)) {
       return false;
     }
+    value.push_back(std::move(element));
   }
   return true;
 }
@@ -168,12 +172,44 @@
   return {result_code::kMessageMalformed, std::move(reason)};
 }
 
+// Checks that there are bytes for the elements that all arrays claim, since the
+// tree is allocated by these claims.
+struct length_check : msgpack::null_visitor {
+  size_t left;  ///< Bytes of elements; each takes one at least.
+  size_t depth = 0;
+
+  explicit length_check(size_t bytes) : left(bytes) {}
+  // NOLINTBEGIN(readability-identifier-naming): names of msgpack
+  bool start_array(uint32_t claimed) { return Enter(claimed); }
+  bool end_array() { return Leave(); }
+  bool start_map(uint32_t claimed) { return Enter(size_t{2} * claimed); }
+  bool end_map() { return Leave(); }
+  // NOLINTEND(readability-identifier-naming)
+  bool Enter(size_t claimed) {
+    const bool enough = claimed <= left;
+    left -= enough ? claimed : 0;
+    return enough && ++depth <= kMaxDepth;
+  }
+  bool Leave() {
+    --depth;
+    return true;
+  }
+};
+
+bool LengthsAreCovered(std::string_view bytes) {
+  length_check check(bytes.size());
+  return msgpack::parse(bytes.data(), bytes.size(), check);
+}
+
 // Parses `bytes` into a tree of objects. Returns nothing if `bytes` is not
 // exactly one msgpack value within the limits of elements, sizes and depth, or
 // if memory runs out.
 std::optional<msgpack::object_handle> Parse(std::string_view bytes) {
   const msgpack::unpack_limit limit(kMaxElements, 0, kMaxMessageBytes,
                                     kMaxMessageBytes, 0, kMaxDepth);
+  if (!LengthsAreCovered(bytes)) {
+    return std::nullopt;
+  }
   try {
     size_t used = 0;
     msgpack::object_handle handle = msgpack::unpack(
--- a/src/wire/wire_test.cc
+++ b/src/wire/wire_test.cc
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <fstream>
+
 namespace tarragondale::wire {
 namespace {
 
@@ -181,6 +183,54 @@
 
 // Guards against equal digests of two different requests, which would let them
 // share an idempotency key.
+// Largest virtual size so far, in KiB.
+int64_t PeakKb() {
+  std::ifstream status("/proc/self/status");
+  for (std::string line; std::getline(status, line);) {
+    if (line.starts_with("VmPeak:")) {
+      return std::stoll(line.substr(line.find(':') + 1));
+    }
+  }
+  return 0;
+}
+
+// What a forged message may allocate: some times its size.
+constexpr int64_t kForgedKb = 64 << 10;
+
+// Guards against allocating structs for elements that decode to none. The
+// message has an array of 2^20 small integers where session values belong.
+TEST(WireTest, ForgedElementsAllocateNoStructs) {
+  hosted_open open;
+  open.database = "in front of the values";
+  message value;
+  value.body = open;
+  std::string bytes = Encode(value);
+  const std::string after = "in front of the values";
+  // Behind the database follow the empty organisation and the empty values.
+  const size_t at = bytes.find(after) + after.size() + 2;
+  ASSERT_EQ(bytes[at], '\x90');
+  constexpr size_t kElements = 1U << 20;
+  bytes.replace(
+      at, 1,
+      std::string("\xdd\x00\x10\x00\x00", 5) + std::string(kElements, '\x01'));
+  const int64_t before = PeakKb();
+  EXPECT_EQ(Decode(bytes).error().code, result_code::kMessageMalformed);
+  EXPECT_LT(PeakKb() - before, kForgedKb);
+}
+
+// Guards against allocating for the claims of arrays within arrays, each of
+// which has the longest length that is allowed.
+TEST(WireTest, ForgedNestedLengthsAllocateNothing) {
+  constexpr int kLevels = 15;
+  std::string bytes;
+  for (int i = 0; i < kLevels; ++i) {
+    bytes += std::string("\xdd\x00\x10\x00\x00", 5);
+  }
+  const int64_t before = PeakKb();
+  EXPECT_EQ(Decode(bytes).error().code, result_code::kMessageMalformed);
+  EXPECT_LT(PeakKb() - before, kForgedKb);
+}
+
 TEST(WireTest, DigestDependsOnKindTextAndParameters) {
   const std::vector<statement> a = {{"UPDATE t SET n = $1", {"1"}}};
   const std::vector<statement> b = {{"UPDATE t SET n = $1", {"2"}}};
