Keep what is held for callers within the memory of the machine

Clients could run a process out of memory with messages of legal size. Sessions now have a budget of bytes, a share of vm.memory_mb: a session that sends too far ahead or reads no answers is not read, the one that holds most is ended when the budget is used up, a line or an answer without progress ends its connection, and connections of callers and to the readiness address are bounded. A connection that was being closed went on to buffer input without a bound, and idle links kept session values; both are mended.

--- a/include/tarragondale/config/settings.h
+++ b/include/tarragondale/config/settings.h
@@ -52,6 +52,12 @@
   std::string promotion_address;  ///< IP:port that promotes members.
   std::vector<std::string> seed_peers;  ///< IP:port of some VMs; may be stale.
   std::vector<std::string> zones;       ///< `zone:region`.
+  int64_t caller_memory_percent = 25;   ///< Of `memory_mb`, for callers.
+  int64_t waiting_statements = 128;     ///< Of one session.
+  int64_t waiting_bytes = 4194304;      ///< Of one session's statements.
+  int64_t unsent_bytes = 1048576;       ///< Of one caller's answers.
+  int64_t line_timeout_ms = 30000;      ///< For a line that has begun.
+  int64_t answer_timeout_ms = 30000;    ///< To read an answer.
   int64_t leaving_ms = 7000;
   int64_t grace_ms = 6000;
   int64_t open_files = 4096;
--- a/include/tarragondale/hosting.h
+++ b/include/tarragondale/hosting.h
@@ -173,7 +173,8 @@
     std::string organisation;
     std::map<std::string, std::string, std::less<>> values;
     std::map<std::string, wire::prepared_shape, std::less<>> prepared;
-    log_position seen;  ///< Newest log position in any answer.
+    size_t kept_bytes = 0;  ///< Of names and contents of both.
+    log_position seen;      ///< Newest log position in any answer.
     interactive::transaction_state state =
         interactive::transaction_state::kIdle;
     std::string host;  ///< Empty: not attached to a host.
@@ -214,6 +215,7 @@
   void EndSession(interactive::session_id id);
   bool MayWrite(const session& of,
                 const interactive::caller_statement& statement) const;
+  static void Keep(session& of, const interactive::caller_statement& statement);
   void Sweep(time_point now, interactive::session_id id);
   void SweepDrain(time_point now);
   session* Find(const wire::hosting_id& id);
--- a/include/tarragondale/interactive.h
+++ b/include/tarragondale/interactive.h
@@ -225,6 +225,8 @@
   size_t max_values = 256;
   /// Prepared statements on a link before it is reset; bounds its memory.
   size_t max_prepared = 256;
+  /// Bytes of session values on an idle link; a link with more is closed.
+  size_t max_idle_value_bytes = 64U << 10;
 
   duration zone_latency{400};             ///< Round trip within a zone.
   duration region_latency{3'000};         ///< Round trip between zones.
@@ -408,6 +410,8 @@
   transaction_state state = transaction_state::kIdle;
   std::optional<log_position> position = {};
   bool close = false;  ///< Close after the answer.
+  /// Bytes of the session's values and prepared statements.
+  size_t kept_bytes = 0;
 };
 struct close_caller {
   session_id session = 0;
--- a/src/config/config_test.cc
+++ b/src/config/config_test.cc
@@ -348,7 +348,10 @@
   EXPECT_EQ(live, (std::vector<std::string>{
                       "store.endpoints", "log.level", "line.promotion_address",
                       "line.seed_peers", "line.zones", "line.leaving_ms",
-                      "line.grace_ms", "line.open_files"}));
+                      "line.grace_ms", "line.open_files",
+                      "line.caller_memory_percent", "line.waiting_statements",
+                      "line.waiting_bytes", "line.unsent_bytes",
+                      "line.line_timeout_ms", "line.answer_timeout_ms"}));
 }
 
 TEST(KeyTest, OnlyTheGrantedTextIsAccepted) {
--- a/src/config/settings_table.cc
+++ b/src/config/settings_table.cc
@@ -94,6 +94,31 @@
      "Time from SIGTERM until the process is killed.", kLine, kLive},
     {"line", "open_files", kInteger, &settings::open_files, "", 256, 1000000,
      "Descriptors that the process may use.", kLine, kLive},
+    {"line", "caller_memory_percent", kInteger,
+     &settings::caller_memory_percent, "%", 1, 90,
+     "Share of vm.memory_mb for what is held for callers. When it is used up, "
+     "the session that holds most is ended.",
+     kLine, kLive},
+    {"line", "waiting_statements", kInteger, &settings::waiting_statements, "",
+     1, 255,
+     "A session with so many unanswered statements is not read until one is "
+     "answered.",
+     kLine, kLive},
+    {"line", "waiting_bytes", kInteger, &settings::waiting_bytes, "bytes", 1024,
+     kMaxBytes, "The same for the size of a session's unanswered statements.",
+     kLine, kLive},
+    {"line", "unsent_bytes", kInteger, &settings::unsent_bytes, "bytes", 1024,
+     kMaxBytes,
+     "A caller with so many unread bytes of answers is not read until it has "
+     "read some.",
+     kLine, kLive},
+    {"line", "line_timeout_ms", kInteger, &settings::line_timeout_ms, "ms", 100,
+     kMaxTimeoutMs, "Time in which a line that has begun must be complete.",
+     kLine, kLive},
+    {"line", "answer_timeout_ms", kInteger, &settings::answer_timeout_ms, "ms",
+     100, kMaxTimeoutMs,
+     "Time in which a caller must read an answer that waits for it.", kLine,
+     kLive},
 });
 
 constexpr std::array<std::string_view, 2> kEdges = {"http", "line"};
--- a/src/daemon/daemon_main.cc
+++ b/src/daemon/daemon_main.cc
@@ -1,5 +1,6 @@
 // Program tarragondaled.
 #include <docopt.h>
+#include <malloc.h>
 
 #include <csignal>
 #include <cstdio>
@@ -80,6 +81,13 @@
 
 // Runs until a signal has shut the daemon down.
 int RunLineEdge(const config::settings& settings, const std::string& path) {
+  // Large blocks go back to the system when they are freed. The allocator would
+  // otherwise take them from its heap after the first, where small blocks
+  // behind them keep the memory in use.
+  constexpr int kLargeBlockBytes = 128 << 10;
+  constexpr int kTrimBytes = 1 << 20;
+  mallopt(M_MMAP_THRESHOLD, kLargeBlockBytes);
+  mallopt(M_TRIM_THRESHOLD, kTrimBytes);
   SetLogWriter(runtime::BufferLogLine);
   auto daemon = runtime::line_daemon::Create(settings, path);
   if (!daemon) {
--- a/src/hosting/forwarder.cc
+++ b/src/hosting/forwarder.cc
@@ -268,7 +268,8 @@
   }
   of.state = transaction_state::kIdle;
   of.waiting.pop_front();
-  actions_.emplace_back(interactive::answer_caller{.session = id});
+  actions_.emplace_back(
+      interactive::answer_caller{.session = id, .kept_bytes = of.kept_bytes});
   return true;
 }
 
@@ -332,14 +333,8 @@
     of.seen = std::max(of.seen, *answer.position);
   }
   const bool ok = answer.code == result_code::kOk;
-  const interactive::caller_statement& statement = done.statement;
-  if (ok && statement.kind == statement_kind::kSet) {
-    of.values[statement.name] = statement.argument;
-  } else if (ok && statement.kind == statement_kind::kPrepare) {
-    of.prepared[statement.name] = {statement.name, statement.argument,
-                                   statement.writes};
-  } else if (ok && statement.kind == statement_kind::kDeallocate) {
-    of.prepared.erase(statement.name);
+  if (ok) {
+    Keep(of, done.statement);
   }
   const bool closing =
       draining_since_ && now - *draining_since_ > options_.drain_notice &&
@@ -350,7 +345,8 @@
                                    .rows = answer.rows,
                                    .signature = answer.signature,
                                    .state = of.state,
-                                   .position = answer.position};
+                                   .position = answer.position,
+                                   .kept_bytes = of.kept_bytes};
   // A host may close the session with an answer, for example when it shuts
   // down. If the answer reports success, the session moves to another host; if
   // it reports an error, the caller's connection is closed too.
--- a/src/interactive/broker.cc
+++ b/src/interactive/broker.cc
@@ -165,9 +165,11 @@
   hosted.hosted = true;
   for (const wire::named_value& each : event.values) {
     hosted.values[each.name] = each.value;
+    hosted.kept_bytes += each.name.size() + each.value.size();
   }
   for (const wire::prepared_shape& each : event.prepared) {
     hosted.prepared[each.name] = {each.writes, each.shape};
+    hosted.kept_bytes += each.name.size() + each.shape.size();
   }
   hosted.written = event.written;
 }
--- a/src/interactive/broker_statements.cc
+++ b/src/interactive/broker_statements.cc
@@ -138,11 +138,17 @@
 void session_broker::implementation::HandleSet(
     session& of,
     const caller_statement& statement) {
-  if (!of.values.contains(statement.name) &&
-      of.values.size() >= options_.max_values) {
-    return Refuse(of, statement.id, result_code::kBodyTooLarge,
-                  "the session has too many session values");
+  const auto known = of.values.find(statement.name);
+  if (known == of.values.end()) {
+    if (of.values.size() >= options_.max_values) {
+      return Refuse(of, statement.id, result_code::kBodyTooLarge,
+                    "the session has too many session values");
+    }
+    of.kept_bytes += statement.name.size();
+  } else {
+    of.kept_bytes -= known->second.size();
   }
+  of.kept_bytes += statement.argument.size();
   of.values[statement.name] = statement.argument;
   Answer(of, result_code::kOk, "");
 }
@@ -150,11 +156,17 @@
 void session_broker::implementation::HandlePrepare(
     session& of,
     const caller_statement& statement) {
-  if (!of.prepared.contains(statement.name) &&
-      of.prepared.size() >= options_.max_values) {
-    return Refuse(of, statement.id, result_code::kBodyTooLarge,
-                  "the session has too many prepared statements");
+  const auto known = of.prepared.find(statement.name);
+  if (known == of.prepared.end()) {
+    if (of.prepared.size() >= options_.max_values) {
+      return Refuse(of, statement.id, result_code::kBodyTooLarge,
+                    "the session has too many prepared statements");
+    }
+    of.kept_bytes += statement.name.size();
+  } else {
+    of.kept_bytes -= known->second.shape.size();
   }
+  of.kept_bytes += statement.argument.size();
   of.prepared[statement.name] = {statement.writes, statement.argument};
   Answer(of, result_code::kOk, "");
 }
@@ -162,10 +174,13 @@
 void session_broker::implementation::HandleDeallocate(
     session& of,
     const caller_statement& statement) {
-  if (of.prepared.erase(statement.name) == 0) {
+  const auto known = of.prepared.find(statement.name);
+  if (known == of.prepared.end()) {
     return Refuse(of, statement.id, result_code::kPreparedStatementUnknown,
                   "no prepared statement has this name");
   }
+  of.kept_bytes -= known->first.size() + known->second.shape.size();
+  of.prepared.erase(known);
   Answer(of, result_code::kOk, "");
 }
 
@@ -291,7 +306,8 @@
   answer_caller answer{.session = of.id,
                        .code = code,
                        .reason = std::move(reason),
-                       .state = StateOf(of)};
+                       .state = StateOf(of),
+                       .kept_bytes = of.kept_bytes};
   if (from != nullptr) {
     answer.rows = std::move(from->rows);
     answer.signature = std::move(from->signature);
--- a/src/interactive/broker_timers.cc
+++ b/src/interactive/broker_timers.cc
@@ -120,7 +120,8 @@
   }
 }
 
-// Closes idle links that have been unused for too long, exceed the quota, or
+// Closes idle links that have been unused for too long, hold large session
+// values of an earlier session, exceed the quota, or
 // lead to a draining or unlisted member other than the primary. Ends status
 // checks that take too long, and closes links without an owner on which an
 // answer is overdue. Starts status checks of failing members.
@@ -132,6 +133,7 @@
     const bool unavailable = !of.listed || of.record.draining;
     const bool expired =
         each.idle() && (now_ - each.last_used > options_.idle_link_timeout ||
+                        each.value_bytes() > options_.max_idle_value_bytes ||
                         (unavailable && !IsPrimary(of)));
     const bool check_is_late =
         each.check && now_ - each.opened_at > options_.check_timeout;
--- a/src/interactive/link.cc
+++ b/src/interactive/link.cc
@@ -19,6 +19,14 @@
 
 }  // namespace
 
+size_t link::value_bytes() const {
+  size_t bytes = 0;
+  for (const auto& [name, value] : values) {
+    bytes += name.size() + value.size();
+  }
+  return bytes;
+}
+
 std::string PreparedName(const prepared_statement& statement) {
   return fmt::format(
       "{}{:016x}", statement.writes ? 'w' : 'r',
--- a/src/interactive/link.h
+++ b/src/interactive/link.h
@@ -37,6 +37,8 @@
   std::set<std::string, std::less<>> prepared;
   std::deque<awaited_answer> awaited;
 
+  /// Bytes of `values`.
+  size_t value_bytes() const;
   bool idle() const { return open && !check && owner == 0 && awaited.empty(); }
   /// Whether a caller's statement or transaction runs on the link or is being
   /// rolled back.
--- a/src/interactive/session.h
+++ b/src/interactive/session.h
@@ -57,7 +57,8 @@
   bool hosted = false;  ///< Its caller is connected to another VM.
   std::map<std::string, std::string, std::less<>> values;
   std::map<std::string, prepared_statement, std::less<>> prepared;
-  log_position written;  ///< Log position of its newest commit.
+  size_t kept_bytes = 0;  ///< Of names and contents of both.
+  log_position written;   ///< Log position of its newest commit.
   std::deque<std::pair<time_point, caller_statement>> pending;
   std::optional<active_statement> current;
   std::optional<transaction> open;
--- a/src/runtime/line/caller_server_test.cc
+++ b/src/runtime/line/caller_server_test.cc
@@ -64,16 +64,21 @@
   interactive::session_id session_ = 0;
   std::vector<std::string> statements_;  ///< Ids that the server passed on.
   bool ended_ = false;                   ///< The caller's connection ended.
+  input_budget budget_;
   caller_server server_{
-      context_, [this](const interactive::event& event) {
-        if (const auto* opened =
-                std::get_if<interactive::caller_opened>(&event)) {
-          session_ = opened->session;
-        } else if (const auto* sent =
-                       std::get_if<interactive::caller_sent>(&event)) {
-          statements_.push_back(sent->statement.id);
-        }
-      }};
+      context_,
+      budget_,
+      {.event =
+           [this](const interactive::event& event) {
+             if (const auto* opened =
+                     std::get_if<interactive::caller_opened>(&event)) {
+               session_ = opened->session;
+             } else if (const auto* sent =
+                            std::get_if<interactive::caller_sent>(&event)) {
+               statements_.push_back(sent->statement.id);
+             }
+           },
+       .end_hosted = [](interactive::session_id) {}}};
   tcp::socket caller_{context_};
 };
 
--- a/src/runtime/line/connection.cc
+++ b/src/runtime/line/connection.cc
@@ -104,8 +104,24 @@
   closing_ = true;
   handlers_ = {};
   if (!writes_ && queued_.empty()) {
-    Close();
+    return Close();
   }
+  limit_.expires_after(kCloseLimit);
+  limit_.async_wait(
+      [self = shared_from_this()](boost::system::error_code error) {
+        if (!error) {
+          self->Close();
+        }
+      });
+}
+
+void line_connection::Resume() {
+  if (!std::exchange(paused_, false) || closed_ || closing_) {
+    return;
+  }
+  // Not from within the caller, which may be handling a line.
+  net::post(socket_.get_executor(),
+            [self = shared_from_this()] { self->TakeLines(); });
 }
 
 void line_connection::Close() {
@@ -117,41 +133,62 @@
   boost::system::error_code ignored;
   socket_.shutdown(tcp::socket::shutdown_both, ignored);
   socket_.close(ignored);
+  if (const auto hook = std::exchange(close_hook_, nullptr)) {
+    hook();
+  }
 }
 
 void line_connection::Read() {
-  socket_.async_read_some(net::buffer(input_),
-                          [self = shared_from_this()](
-                              boost::system::error_code error, size_t count) {
-                            if (self->closed_) {
-                              return;
-                            }
-                            if (error) {
-                              return self->Fail(error.message());
-                            }
-                            self->OnRead(count);
-                          });
+  reads_ = true;
+  socket_.async_read_some(
+      net::buffer(input_), [self = shared_from_this()](
+                               boost::system::error_code error, size_t count) {
+        self->reads_ = false;
+        if (self->closed_) {
+          return;
+        }
+        if (error) {
+          return self->Fail(error.message());
+        }
+        // What arrives at a connection that is being closed is dropped.
+        if (!self->closing_) {
+          self->reader_.Append({self->input_.data(), count});
+        }
+        self->TakeLines();
+      });
 }
 
-void line_connection::OnRead(size_t count) {
-  reader_.Append({input_.data(), count});
+void line_connection::TakeLines() {
+  if (std::exchange(takes_, true)) {
+    return;
+  }
   // The handler may close this connection, which drops the handlers.
   const auto on_line = handlers_.line;
-  while (!closed_ && !closing_) {
+  bool completed = false;
+  while (!closed_ && !closing_ && !paused_) {
     auto line = reader_.Next();
     if (!line) {
       break;
     }
+    completed = true;
     on_line(std::move(*line));
   }
+  takes_ = false;
   if (closed_) {
     return;
   }
-  if (reader_.overflowed() && !closing_) {
+  if (closing_) {
+    reader_ = {};
+  } else if (reader_.overflowed()) {
     Write(platform::EncodeTooLarge());
     return Fail("a line is too long");
+  } else if (handlers_.unread && reader_.size() != reported_unread_) {
+    reported_unread_ = reader_.size();
+    handlers_.unread(reported_unread_, completed);
+  }
+  if (!closed_ && !reads_ && (!paused_ || closing_)) {
+    Read();
   }
-  Read();
 }
 
 void line_connection::WriteNext() {
@@ -177,6 +214,7 @@
   }
   if (written == writing_.size()) {
     writes_ = false;
+    writing_ = {};
     return WriteNext();
   }
   net::async_write(
@@ -190,7 +228,11 @@
         if (failed) {
           return self->Fail(failed.message());
         }
+        self->writing_ = {};
         self->WriteNext();
+        if (self->handlers_.written) {
+          self->handlers_.written();
+        }
       });
 }
 
--- a/src/runtime/line/connection.h
+++ b/src/runtime/line/connection.h
@@ -23,6 +23,11 @@
     std::function<void(std::string line)> line;
     /// The other side closed, or the connection failed.
     std::function<void(const std::string& reason)> closed;
+    /// Optional. The bytes received that belong to no complete line, if they
+    /// have changed, and whether lines were completed.
+    std::function<void(size_t unread, bool completed)> unread = {};
+    /// Optional. Text that had to wait was written.
+    std::function<void()> written = {};
   };
 
   explicit line_connection(boost::asio::ip::tcp::socket socket);
@@ -42,11 +47,24 @@
 
   void Write(std::string text);
 
+  /// @brief Bytes of text that the socket has not taken.
+  size_t unsent() const {
+    return queued_.size() + (writes_ ? writing_.size() : 0);
+  }
+
+  /// @brief Stops to take lines and to read, also from within a handler.
+  void Pause() { paused_ = true; }
+  void Resume();
+
+  /// @brief Called once when the socket is closed, in whatever way.
+  void OnClose(std::function<void()> hook) { close_hook_ = std::move(hook); }
+
   /// @brief Reads what has arrived, without waiting, and returns its complete
   /// lines, which no handler gets. For a connection that is about to be closed.
   std::vector<std::string> TakeArrivedLines();
 
-  /// @brief Closes after all text was written. No handler is called any more.
+  /// @brief Closes after all text was written, or after `kCloseLimit`. No
+  /// handler is called any more.
   void CloseAfterWrites();
 
   /// @brief Closes at once. No handler is called any more.
@@ -55,13 +73,15 @@
  private:
   void SetOptions();
   void Read();
-  void OnRead(size_t count);
+  void TakeLines();
   void WriteNext();
   void Fail(const std::string& reason);
 
   // Text that waits for a slow reader beyond this closes the connection.
   static constexpr size_t kMaxQueuedBytes = 8U << 20;
   static constexpr size_t kReadBytes = 2048;
+  // For a reader that is slow to take the last text.
+  static constexpr duration kCloseLimit = seconds(5);
 
   boost::asio::ip::tcp::socket socket_;
   boost::asio::steady_timer limit_;
@@ -70,7 +90,12 @@
   std::array<char, kReadBytes> input_;
   std::string writing_;  ///< Being written.
   std::string queued_;   ///< To be written next.
+  std::function<void()> close_hook_;
+  size_t reported_unread_ = 0;
   bool connected_ = false;
+  bool reads_ = false;  ///< A read is in progress.
+  bool takes_ = false;  ///< Within `TakeLines`.
+  bool paused_ = false;
   bool writes_ = false;
   bool closing_ = false;
   bool closed_ = false;
--- a/src/runtime/line/hosting_duty.cc
+++ b/src/runtime/line/hosting_duty.cc
@@ -6,6 +6,9 @@
 #include "src/runtime/line/log_output.h"
 
 namespace tarragondale::runtime {
+
+using interactive::session_id;
+
 namespace {
 
 constexpr duration kHostTickInterval = seconds(1);
@@ -45,6 +48,7 @@
   if (now >= next_host_tick_) {
     next_host_tick_ = now + kHostTickInterval;
     for (interactive::event& event : host_.OnTick(now)) {
+      Account(event);
       handlers_.broker(std::move(event));
     }
   }
@@ -64,20 +68,59 @@
 
 bool hosting_duty::TakeAnswer(const interactive::answer_caller& action) {
   const bool taken = host_.OnAnswer(action);
+  if (taken) {
+    budget_.FinishStatement(action.session);
+    budget_.SetKept(action.session, action.kept_bytes);
+    handlers_.held();
+  }
   Flush();
   return taken;
 }
 
 bool hosting_duty::TakeClose(interactive::session_id session) {
   const bool taken = host_.OnClose(session);
+  if (taken) {
+    budget_.Close(session);
+  }
   Flush();
   return taken;
 }
 
+void hosting_duty::EndHosted(session_id session) {
+  if (TakeClose(session)) {
+    handlers_.broker(interactive::caller_closed{session});
+  }
+}
+
+// Counts what an event of a hosted session adds. The entry VM counts the
+// session's bytes too, as they are held there as well.
+void hosting_duty::Account(const interactive::event& event) {
+  if (const auto* opened = std::get_if<interactive::session_hosted>(&event)) {
+    size_t kept = 0;
+    for (const wire::named_value& each : opened->values) {
+      kept += each.name.size() + each.value.size();
+    }
+    for (const wire::prepared_shape& each : opened->prepared) {
+      kept += each.name.size() + each.shape.size();
+    }
+    budget_.Open(opened->session);
+    budget_.SetKept(opened->session, kept);
+  } else if (const auto* sent = std::get_if<interactive::caller_sent>(&event)) {
+    budget_.AddStatement(sent->session, StatementBytes(sent->statement));
+  } else if (const auto* closed =
+                 std::get_if<interactive::caller_closed>(&event)) {
+    return budget_.Close(closed->session);
+  } else {
+    return;
+  }
+  handlers_.held();
+}
+
 void hosting_duty::Deliver(const std::string& vm,
                            const wire::message_body& body) {
   const time_point now = BootNow();
   for (interactive::event& event : host_.OnMessage(now, vm, body)) {
+    Account(event);
     handlers_.broker(std::move(event));
   }
   forwarder_.OnMessage(now, vm, body);
--- a/src/runtime/line/hosting_duty.h
+++ b/src/runtime/line/hosting_duty.h
@@ -11,6 +11,7 @@
 #include <utility>
 #include <vector>
 
+#include "src/runtime/line/input_budget.h"
 #include "tarragondale/config/settings.h"
 #include "tarragondale/hosting.h"
 #include "tarragondale/interactive.h"
@@ -29,13 +30,17 @@
     std::function<void(const interactive::accept_caller&)> accept;
     std::function<void(const interactive::answer_caller&)> answer;
     std::function<void(interactive::session_id)> close;
+    /// More is held for hosted sessions.
+    std::function<void()> held = [] {};
   };
 
   hosting_duty(const std::string& self,
                int64_t incarnation,
                hosting::forwarder_options options,
+               input_budget& budget,
                handlers handlers)
       : self_(self),
+        budget_(budget),
         handlers_(std::move(handlers)),
         forwarder_(self, incarnation, options),
         host_(self) {}
@@ -55,6 +60,8 @@
     forwarder_.SetOptions(options);
   }
   void StartDrain(time_point now);
+  /// @brief Ends a session that runs here for another VM's caller.
+  void EndHosted(interactive::session_id session);
 
   // --- The broker's actions ---
   /// @brief False: the session is of a caller of this VM.
@@ -69,6 +76,7 @@
   std::optional<time_point> NextDeadline() const;
 
  private:
+  void Account(const interactive::event& event);
   void Flush();
   void SendOutbox();
   void Send(const hosting::send_message& message);
@@ -76,6 +84,7 @@
   void Deliver(const std::string& vm, const wire::message_body& body);
 
   const std::string self_;
+  input_budget& budget_;
   const handlers handlers_;
   hosting::forwarder forwarder_;
   hosting::session_host host_;
--- a/src/runtime/line/hosting_duty_test.cc
+++ b/src/runtime/line/hosting_duty_test.cc
@@ -100,10 +100,12 @@
   int hosted_here_ = 0;
   std::vector<std::pair<std::string, wire::message_body>> sent_;
   std::vector<answer_caller> answers_;
+  input_budget budget_;
   hosting_duty duty_{
       "vm-0",
       1,
       {},
+      budget_,
       {.broker =
            [this](const interactive::event& event) { OnBrokerEvent(event); },
        .send =
@@ -154,5 +156,97 @@
   EXPECT_EQ(answers_[0].code, result_code::kDeadlineBeforeStart);
 }
 
+// What another VM's caller makes this VM hold counts here too. Guards against a
+// host that many entry VMs, each within its own budget, run out of memory.
+class HostBudgetTest : public testing::Test {
+ protected:
+  static constexpr size_t kMiB = 1U << 20;
+  static constexpr size_t kBudget = 16 * kMiB;
+
+  void SetUp() override {
+    budget_.SetLimits({.total_bytes = kBudget});
+    duty_.SetCatalogue(Configuration(true));
+    duty_.SetFleet(Fleet(kSmallestFleetWithHosts));
+  }
+  void OpenSession(uint64_t session, size_t value_bytes) {
+    wire::hosted_open open;
+    open.id = {1, session, 1};
+    open.database = "db";
+    open.values = {{"v", std::string(value_bytes, 'x')}};
+    duty_.OnMessage("vm-1", open);
+  }
+  void SendStatement(uint64_t session, size_t bytes) {
+    wire::hosted_statement statement;
+    statement.id = {1, session, 1};
+    statement.sequence = 1;
+    statement.text = std::string(bytes, 'x');
+    duty_.OnMessage("vm-1", statement);
+  }
+  // As the daemon does once more is held.
+  void EndLargest() {
+    while (const auto largest = budget_.Largest()) {
+      duty_.EndHosted(*largest);
+      ++ended_;
+    }
+  }
+
+  input_budget budget_;
+  size_t closed_ = 0;  ///< Sessions that ended at the broker.
+  size_t ended_ = 0;
+  size_t told_ = 0;  ///< Sessions whose entry was told of their end.
+  hosting_duty duty_{
+      "vm-0",
+      1,
+      {},
+      budget_,
+      {.broker =
+           [this](const interactive::event& event) {
+             closed_ +=
+                 std::holds_alternative<interactive::caller_closed>(event) ? 1
+                                                                           : 0;
+           },
+       .send =
+           [this](const std::string&, const wire::message_body& body) {
+             told_ += std::holds_alternative<wire::hosted_ended>(body) ? 1 : 0;
+             return true;
+           },
+       .accept = [](const interactive::accept_caller&) {},
+       .answer = [](const answer_caller&) {},
+       .close = [](session_id) {},
+       .held = [this] { EndLargest(); }}};
+};
+
+TEST_F(HostBudgetTest, ValuesOfManySessionsStayWithinTheBudget) {
+  constexpr uint64_t kSessions = 64;
+  for (uint64_t i = 1; i <= kSessions; ++i) {
+    OpenSession(i, kMiB);
+    EXPECT_LE(budget_.total(), kBudget);
+  }
+  EXPECT_GT(ended_, 0U);
+  EXPECT_EQ(closed_, ended_);
+  EXPECT_EQ(told_, ended_);
+  EXPECT_EQ(duty_.hosted(), kSessions - ended_);
+}
+
+TEST_F(HostBudgetTest, StatementsOfManySessionsStayWithinTheBudget) {
+  constexpr uint64_t kSessions = 64;
+  for (uint64_t i = 1; i <= kSessions; ++i) {
+    OpenSession(i, 0);
+    SendStatement(i, kMiB);
+    EXPECT_LE(budget_.total(), kBudget);
+  }
+  EXPECT_GT(ended_, 0U);
+  EXPECT_EQ(told_, ended_);
+  EXPECT_EQ(duty_.hosted(), kSessions - ended_);
+}
+
+TEST_F(HostBudgetTest, SmallSessionsOutliveALargeOne) {
+  OpenSession(1, 100);
+  OpenSession(2, 8 * kMiB);
+  EXPECT_EQ(ended_, 1U);
+  EXPECT_EQ(duty_.hosted(), 1U);
+  EXPECT_GT(budget_.held(hosting::session_host::kFirstId + 1), 0U);
+}
+
 }  // namespace
 }  // namespace tarragondale::runtime
--- a/src/runtime/line/line_daemon.cc
+++ b/src/runtime/line/line_daemon.cc
@@ -17,6 +17,7 @@
 #include "src/runtime/line/fleet_duty.h"
 #include "src/runtime/line/hosting_duty.h"
 #include "src/runtime/line/http_channel.h"
+#include "src/runtime/line/input_budget.h"
 #include "src/runtime/line/log_output.h"
 #include "src/runtime/line/member_links.h"
 #include "src/runtime/line/readiness_server.h"
@@ -87,6 +88,19 @@
   return options;
 }
 
+input_limits InputLimits(const config::settings& settings) {
+  constexpr int64_t kMiB = 1 << 20;
+  const auto total = static_cast<size_t>(settings.memory_mb * kMiB / 100 *
+                                         settings.caller_memory_percent);
+  return {
+      .total_bytes = total,
+      .waiting_bytes = static_cast<size_t>(settings.waiting_bytes),
+      .waiting_statements = static_cast<size_t>(settings.waiting_statements),
+      .unsent_bytes = static_cast<size_t>(settings.unsent_bytes),
+      .line_time = milliseconds(settings.line_timeout_ms),
+      .answer_time = milliseconds(settings.answer_timeout_ms)};
+}
+
 leadership::options KeeperOptions(const config::settings& settings) {
   leadership::options options;
   options.self = Registration(settings);
@@ -106,9 +120,15 @@
         store_channel_(context_, settings_.store_endpoints.front()),
         promotion_channel_(context_, settings_.promotion_address),
         callers_(context_,
-                 [this](const interactive::event& event) {
-                   hosting_.OnCaller(event);
-                 }),
+                 budget_,
+                 {.event =
+                      [this](interactive::event event) {
+                        hosting_.OnCaller(std::move(event));
+                      },
+                  .end_hosted =
+                      [this](interactive::session_id id) {
+                        hosting_.EndHosted(id);
+                      }}),
         links_(context_,
                [this](const interactive::event& event) { Post(event); }),
         readiness_(context_,
@@ -147,6 +167,7 @@
             settings_.vm_name,
             keeper_options_.self.incarnation,
             ForwarderOptions(settings_),
+            budget_,
             {.broker =
                  [this](interactive::event event) { Post(std::move(event)); },
              .send =
@@ -164,9 +185,12 @@
              .close =
                  [this](interactive::session_id session) {
                    callers_.Close(session);
-                 }}),
+                 },
+             .held = [this] { callers_.Relieve(); }}),
         timer_(context_),
-        signals_(context_, SIGTERM, SIGINT, SIGHUP) {}
+        signals_(context_, SIGTERM, SIGINT, SIGHUP) {
+    SetCallerLimits();
+  }
 
   status Start() {
     if (const status problem = readiness_.Listen(settings_.readiness_address)) {
@@ -375,6 +399,11 @@
 
   // --- Readiness, settings, shutdown ---
 
+  void SetCallerLimits() {
+    budget_.SetLimits(InputLimits(settings_));
+    callers_.SetMaxConnections(BrokerOptions(settings_).max_sessions);
+  }
+
   // A VM that the store never answered has no registration and so no right to
   // a primary; others serve callers better.
   bool IsReady() const {
@@ -418,6 +447,23 @@
     set("tarragondale_store_revision",
         "Newest revision of the store that is known.",
         static_cast<uint64_t>(fleet_.store_revision()));
+    set("tarragondale_caller_bytes", "Bytes held for callers.",
+        budget_.total());
+    set("tarragondale_caller_pauses",
+        "Times that a caller was not read any further for a while.",
+        budget_.pauses());
+    set("tarragondale_readiness_closed",
+        "Connections to the readiness address that made room for others.",
+        readiness_.closed());
+    using limit = input_budget::limit;
+    for (const limit reason : {limit::kMemory, limit::kSlowLine, limit::kUnread,
+                               limit::kConnections}) {
+      registry_
+          .Gauge("tarragondale_callers_ended",
+                 "Callers that were disconnected or refused, by limit.",
+                 {{"limit", std::string(input_budget::LimitName(reason))}})
+          .Set(static_cast<int64_t>(budget_.closed(reason)));
+    }
     set("tarragondale_log_lines_dropped", "Log lines that were dropped.",
         DroppedLogLines());
     for (const auto& [code, count] : metrics.failures) {
@@ -520,6 +566,7 @@
     Post(interactive::event(
         interactive::options_changed{BrokerOptions(settings_)}));
     hosting_.SetOptions(ForwarderOptions(settings_));
+    SetCallerLimits();
   }
 
   net::io_context context_{1};
@@ -528,6 +575,7 @@
   int64_t settings_changed_ = 0;
   http_channel store_channel_;
   http_channel promotion_channel_;
+  input_budget budget_;
   caller_server callers_;
   member_links links_;
   readiness_server readiness_;
--- a/src/runtime/line/readiness_server.cc
+++ b/src/runtime/line/readiness_server.cc
@@ -7,6 +7,8 @@
 #include <utility>
 
 #include "platform/platform.h"
+#include "src/runtime/line/boot_clock.h"
+#include "src/runtime/line/log_output.h"
 
 namespace tarragondale::runtime {
 
@@ -21,6 +23,7 @@
 // not its.
 constexpr duration kIdleLimit = seconds(15);
 constexpr duration kAcceptPause = milliseconds(50);
+constexpr duration kNoteInterval = seconds(1);
 constexpr uint32_t kMaxHeaderBytes = 8192;
 
 }  // namespace
@@ -44,6 +47,8 @@
         });
   }
 
+  void Close() { stream_.close(); }
+
  private:
   void Answer() {
     const auto& request = parser_->get();
@@ -85,13 +90,31 @@
 
 readiness_server::readiness_server(net::io_context& context, handlers handlers)
     : handlers_(std::move(handlers)),
-      listener_(
-          context,
-          log_part::kHttp,
-          kAcceptPause,
-          [this](tcp::socket socket) {
-            std::make_shared<session>(std::move(socket), handlers_)->Read();
-          }) {}
+      listener_(context,
+                log_part::kHttp,
+                kAcceptPause,
+                [this](tcp::socket socket) { Add(std::move(socket)); }) {}
+
+void readiness_server::Add(tcp::socket socket) {
+  std::erase_if(sessions_, [](const auto& each) { return each.expired(); });
+  if (sessions_.size() >= kMaxConnections) {
+    if (const auto oldest = sessions_.front().lock()) {
+      oldest->Close();
+    }
+    sessions_.pop_front();
+    ++closed_;
+    if (const time_point now = BootNow(); now >= next_note_) {
+      next_note_ = now + kNoteInterval;
+      Log(log_level::kWarning, log_part::kHttp,
+          "limit readiness_connections: the oldest of {} connections is "
+          "closed; {} so far.",
+          kMaxConnections, closed_);
+    }
+  }
+  const auto added = std::make_shared<session>(std::move(socket), handlers_);
+  sessions_.push_back(added);
+  added->Read();
+}
 
 status readiness_server::Listen(const std::string& address) {
   if (status problem =
--- a/src/runtime/line/readiness_server.h
+++ b/src/runtime/line/readiness_server.h
@@ -5,7 +5,9 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <deque>
 #include <functional>
+#include <memory>
 #include <string>
 
 #include "src/runtime/listener.h"
@@ -26,10 +28,21 @@
   /// @brief Listens on `address` (IP:port). Failure: `setting_invalid`.
   status Listen(const std::string& address);
 
+  /// @brief Connections that were closed to make room for others.
+  uint64_t closed() const { return closed_; }
+
  private:
   class session;
 
+  // The balancer and monitoring need a few.
+  static constexpr size_t kMaxConnections = 32;
+
+  void Add(boost::asio::ip::tcp::socket socket);
+
   handlers handlers_;
+  std::deque<std::weak_ptr<session>> sessions_;  ///< The oldest first.
+  uint64_t closed_ = 0;
+  time_point next_note_;
   listener listener_;
 };
 
--- a/src/runtime/listener.cc
+++ b/src/runtime/listener.cc
@@ -31,6 +31,14 @@
   acceptor_.open(endpoint->protocol(), error);
   if (!error) {
     acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
+    if (receive_buffer_ != 0) {
+      // Accepted sockets inherit them.
+      acceptor_.set_option(
+          boost::asio::socket_base::receive_buffer_size(receive_buffer_),
+          error);
+      acceptor_.set_option(
+          boost::asio::socket_base::send_buffer_size(send_buffer_), error);
+    }
     acceptor_.bind(*endpoint, error);
   }
   if (!error) {
--- a/src/runtime/listener.h
+++ b/src/runtime/listener.h
@@ -25,6 +25,13 @@
            duration pause,
            handler on_connection);
 
+  /// @brief Sets the buffer sizes in bytes of accepted sockets, which the
+  /// kernel doubles. Before `Listen`.
+  void SetBuffers(int receive, int send) {
+    receive_buffer_ = receive;
+    send_buffer_ = send;
+  }
+
   /// @brief Listens on `address` (IP:port). Failure: `setting_invalid`.
   status Listen(const std::string& address, int backlog);
 
@@ -42,6 +49,8 @@
   const log_part part_;
   const duration pause_;
   const handler on_connection_;
+  int receive_buffer_ = 0;  ///< 0: the kernel's choice.
+  int send_buffer_ = 0;
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer pause_timer_;
 };
