Test what callers hold: waiting statements, connections, values of sessions

Guards against a session that isn't read again after its statements were answered, connections that keep ordinary callers out, answers of closing connections that count nowhere, and a budget that drifts from what sessions keep.

--- a/src/hosting/hosting_test.cc
+++ b/src/hosting/hosting_test.cc
@@ -312,6 +312,24 @@
   EXPECT_EQ(test.HostOf().sessions.begin()->second.organisation, "red");
 }
 
+// Guards against a budget of memory that drifts from what the entry VM keeps.
+TEST(HostingTest, AnswersTellHowMuchTheEntryKeeps) {
+  hosted_fleet test;
+  ASSERT_TRUE(test.Open());
+  const auto kept = [&](statement_kind kind, const std::string& name,
+                        const std::string& argument) {
+    test.Send(kind, name, argument);
+    test.Run(milliseconds(100));
+    return test.answers.back().kept_bytes;
+  };
+  EXPECT_EQ(kept(statement_kind::kSet, "ab", "12345"), 7U);
+  EXPECT_EQ(kept(statement_kind::kSet, "ab", "1"), 3U);
+  EXPECT_EQ(kept(statement_kind::kPrepare, "p", "shape"), 9U);
+  EXPECT_EQ(kept(statement_kind::kPrepare, "p", "sh"), 6U);
+  EXPECT_EQ(kept(statement_kind::kDeallocate, "q", ""), 6U);
+  EXPECT_EQ(kept(statement_kind::kDeallocate, "p", ""), 3U);
+}
+
 TEST(HostingTest, UnknownDatabasesAndKeysAreNotForwarded) {
   hosted_fleet test;
   EXPECT_FALSE(test.entry().Open(TimeFromMs(1), {2, "other", "key"}));
--- a/src/interactive/broker_test.cc
+++ b/src/interactive/broker_test.cc
@@ -642,5 +642,22 @@
   EXPECT_LT(refused, 40);
 }
 
+// Guards against a budget of memory that drifts from what sessions keep.
+TEST(BrokerTest, AnswersTellHowMuchTheSessionKeeps) {
+  broker_harness test;
+  test.Open(1, "own");
+  const auto kept = [&](statement_kind kind, const std::string& name,
+                        const std::string& argument) {
+    test.Send(1, kind, "", name, argument, true);
+    return test.LastAnswer(1).kept_bytes;
+  };
+  EXPECT_EQ(kept(statement_kind::kSet, "ab", "12345"), 7U);
+  EXPECT_EQ(kept(statement_kind::kSet, "ab", "1"), 3U);
+  EXPECT_EQ(kept(statement_kind::kPrepare, "p", "shape"), 9U);
+  EXPECT_EQ(kept(statement_kind::kPrepare, "p", "sh"), 6U);
+  EXPECT_EQ(kept(statement_kind::kDeallocate, "q", ""), 6U);
+  EXPECT_EQ(kept(statement_kind::kDeallocate, "p", ""), 3U);
+}
+
 }  // namespace
 }  // namespace tarragondale::interactive
--- a/src/runtime/line/caller_server_test.cc
+++ b/src/runtime/line/caller_server_test.cc
@@ -139,5 +139,59 @@
   EXPECT_LT(sent, kChunks);
 }
 
+// Guards against statements that pile up, and against a caller that is not read
+// any more once its statements were answered.
+TEST_F(CallerServerTest, StatementsBeyondTheLimitAreTakenAfterAnAnswer) {
+  budget_.SetLimits({.waiting_statements = 2});
+  Send("QUERY a READ 1\r\nQUERY b READ 1\r\nQUERY c READ 1\r\n");
+  Receive();
+  EXPECT_EQ(statements_, (std::vector<std::string>{"a", "b"}));
+  EXPECT_EQ(budget_.pauses(), 1U);
+  server_.Answer({.session = session_, .signature = "s"});
+  RunUntil([&] { return statements_.size() == 3; });
+  for (int i = 0; i < 2; ++i) {
+    server_.Answer({.session = session_, .signature = "s"});
+  }
+  Send("QUERY d READ 1\r\n");
+  RunUntil([&] { return statements_.size() == 4; });
+}
+
+// Guards against connections without a session that keep ordinary callers out.
+TEST_F(CallerServerTest, OldestConnectionWithoutASessionMakesRoom) {
+  server_.SetMaxConnections(2);
+  const tcp::endpoint address = caller_.remote_endpoint();
+  tcp::socket silent(context_);
+  silent.connect(address);
+  RunUntil([&] { return server_.connections() == 2; });
+  tcp::socket later(context_);
+  later.connect(address);
+  RunUntil(
+      [&] { return budget_.closed(input_budget::limit::kConnections) == 1; });
+  EXPECT_EQ(server_.connections(), 2U);
+  char byte = 0;
+  boost::system::error_code error;
+  silent.read_some(net::buffer(&byte, 1), error);
+  EXPECT_TRUE(error);
+  Send("QUERY a READ 1\r\n");
+  RunUntil([&] { return !statements_.empty(); });
+}
+
+// Guards against callers that fill the memory with last answers that they do
+// not read, while their connections are being closed.
+TEST_F(CallerServerTest, LastAnswerOfAClosingConnectionCounts) {
+  constexpr size_t kAnswerBytes = 6U << 20;
+  interactive::answer_caller answer;
+  answer.session = session_;
+  answer.rows = {std::string(kAnswerBytes, 'x')};
+  answer.close = true;
+  server_.Answer(answer);
+  const size_t held = budget_.total();
+  // What the socket has not taken still counts.
+  EXPECT_GT(held, kAnswerBytes / 2);
+  EXPECT_LT(held, kAnswerBytes * 2);
+  caller_.close();
+  RunUntil([&] { return budget_.total() == 0; });
+}
+
 }  // namespace
 }  // namespace tarragondale::runtime
