--- a/src/interactive/session.h
+++ b/src/interactive/session.h
@@ -67,7 +67,8 @@
   region_set entry_organisation_regions;
   std::map<std::string, std::string, std::less<>> values;
   std::map<std::string, prepared_statement, std::less<>> prepared;
-  log_position written;  ///< Log position of its newest commit.
+  size_t kept_bytes = 0;  ///< Of names and contents of both.
+  log_position written;   ///< Log position of its newest commit.
   std::deque<std::pair<time_point, caller_statement>> pending;
   std::optional<paced_statement> paced;
   bool has_token = false;  ///< For the statement that is being handled.
