Let a VM that lost its relays find one again

Callers of hosts in fleets above 16 VMs were refused as rate_exceeded for as long as the VM lived.

A VM that is no relay but watches the store said in its digests that it watches. Relays answer only digests of VMs that do not, since those may follow them, so it never heard a relay again. Such a VM does not offer itself as a relay any more.

The new test fails with the former condition: the digest of a VM that watches was never answered.

--- a/include/tarragondale/wire.h
+++ b/include/tarragondale/wire.h
@@ -306,8 +306,8 @@
   uint64_t echo = 0;      ///< Highest sequence received from the receiver.
   int64_t incarnation = 0;
   std::string peer_address;  ///< Sender's address, for VMs that don't know it.
-  /// The sender watches the store itself, or relays that do send it the
-  /// changes.
+  /// The sender is a relay that watches the store, or is sent its changes by
+  /// relays that do.
   bool watching = false;
   bool reaches_store = false;  ///< The store answered the sender's last call.
   /// The sender gets the store's changes from the receiver.
--- a/src/interactive/capacity_model_test.cc
+++ b/src/interactive/capacity_model_test.cc
@@ -213,8 +213,8 @@
   EXPECT_GE(recovered[1].served(), 0.95 * 200 * 4 * kPlays);
 }
 
-// Target: VMs that share a primary get shares within a factor of 2 in each play,
-// also one that started later.
+// Target: VMs that share a primary get shares within a factor of 2 in each
+// play, also one that started later.
 TEST(CapacityModelTest, SharesAreFair) {
   constexpr size_t kVms = 4;
   std::array<size_t, kVms> sums{};
--- a/src/runtime/line/fleet_duty.cc
+++ b/src/runtime/line/fleet_duty.cc
@@ -361,8 +361,7 @@
   }
   handlers_.primary_manager(
       leadership::digest_arrived{vm, digest, taken->echo_sent});
-  if (!digest.watching) {
-    // It follows this VM, or may: what it is told is as old as its own digest.
+  if (fleet_exchange::MustAnswer(digest)) {
     SendDigest(exchange_.TargetOf(vm, now), now, BuildDigest(now));
   }
   const size_t stop_notices = keeper_.StopNotices(now, false).size();
@@ -409,7 +408,7 @@
   wire::fleet_digest digest;
   digest.incarnation = keeper_.incarnation();
   digest.peer_address = peer_address_;
-  digest.watching = !mirror_.paused() || fed_;
+  exchange_.OfferAsRelay(!mirror_.paused() || fed_, digest);
   digest.reaches_store = mirror_.reachable();
   digest.leaving = keeper_.leaving();
   digest.store_revision = copy_.revision();
--- a/src/runtime/line/fleet_exchange.h
+++ b/src/runtime/line/fleet_exchange.h
@@ -64,6 +64,21 @@
   /// there is none.
   std::string OtherRelay() const;
 
+  /// @brief Says in a digest whether other VMs may follow this one. A VM that
+  /// is no relay does not offer itself, also while it watches the store because
+  /// it lost its relays: they answer only VMs that may follow them, and would
+  /// not be found again.
+  /// @param has_changes This VM gets the store's changes other than by
+  /// following a relay.
+  void OfferAsRelay(bool has_changes, wire::fleet_digest& digest) const {
+    digest.watching = has_changes && plan_.IsRelay();
+  }
+  /// @brief Whether the sender of the digest follows this VM or may do so. It
+  /// gets an answer to each digest, since what it is told is as old as its own.
+  static bool MustAnswer(const wire::fleet_digest& digest) {
+    return !digest.watching;
+  }
+
   /// @brief VMs that get a digest now.
   std::vector<target> Targets(time_point now) const;
   /// @brief How a digest to a VM is made.
--- a/src/runtime/line/fleet_exchange_test.cc
+++ b/src/runtime/line/fleet_exchange_test.cc
@@ -121,6 +121,35 @@
   EXPECT_EQ(exchange.home(), asked[0].vm);
 }
 
+// Guards against a VM that watches the store for good, and hears nobody, after
+// its relays were cut off from it for a while.
+TEST(FleetExchangeTest, VmThatLostItsRelaysFindsOneAgain) {
+  const auto fleet = Registrations(195);
+  fleet_exchange exchange("vm-100", {});
+  exchange.SetFleet(fleet);
+  const time_point now = TimeFromMs(1'000);
+  const auto asked = exchange.Targets(now);
+  exchange.Take(asked[0].vm, OfRelay(1), now);
+  exchange.ChooseHome(now);
+  const time_point cut = now + seconds(2);
+  exchange.ChooseHome(cut);
+  ASSERT_TRUE(exchange.home().empty());
+  wire::fleet_digest digest;
+  exchange.OfferAsRelay(true, digest);
+  fleet_exchange relay(asked[0].vm, {});
+  relay.SetFleet(fleet);
+  ASSERT_TRUE(relay.Take("vm-100", digest, cut));
+  EXPECT_TRUE(fleet_exchange::MustAnswer(digest));
+  wire::fleet_digest answer;
+  relay.OfferAsRelay(true, answer);
+  answer.sequence = 2;
+  answer.incarnation = 5;
+  answer.reaches_store = true;
+  exchange.Take(asked[0].vm, answer, cut);
+  EXPECT_TRUE(exchange.ChooseHome(cut));
+  EXPECT_EQ(exchange.home(), asked[0].vm);
+}
+
 TEST(FleetExchangeTest, RelayExchangesWithRelaysAndAnswersFollowers) {
   const auto fleet = Registrations(195);
   std::string relay;
