Admit the usual demand while other VMs are silent

Callers were refused as rate_exceeded for seconds after all connections between VMs went silent.

Demand below the rate leaves the bucket as it is, since it is refilled meanwhile. Only demand beyond the rate is presumed now, with a margin for growth; the part of the bucket is withheld as before.

The new test failed before, with 35 of 200 operations admitted.

--- a/src/interactive/shared_rate.cc
+++ b/src/interactive/shared_rate.cc
@@ -25,6 +25,8 @@
 // the delay of one.
 constexpr duration kReportLifetime = milliseconds(1'200);
 constexpr double kUnheardSeconds = 1.2;
+// Growth of an organisation's demand that is allowed for while VMs are silent.
+constexpr double kPresumedGrowth = 1.5;
 // An outdated reporter is forgotten after this; VMs change their relays.
 constexpr duration kReporterLifetime = seconds(60);
 // Time constant of the average of recent demand.
@@ -258,11 +260,9 @@
                  : 0;
   }
   if (absent > absent_) {
-    // Their part of the bucket, and of the rate since they were last heard.
-    const double presumed =
-        balance_ + (Starting(now) ? 0 : Overdraft() + rate_ * kUnheardSeconds);
+    const double part = (absent - absent_) / (1 - absent_);
     const double moved =
-        (absent - absent_) / (1 - absent_) * std::max(0.0, presumed);
+        part * std::max(0.0, balance_) + (Starting(now) ? 0 : Presumed(part));
     balance_ -= moved;
     withheld_ += moved;
   } else if (absent < absent_) {
@@ -277,6 +277,19 @@
   }
 }
 
+// Tokens that VMs that were just found absent, `part` of those that were heard,
+// may have taken from the bucket since they were last heard. Demand below the
+// rate leaves the bucket as it is, since it is refilled meanwhile.
+double shared_rate_limiter::Presumed(double part) const {
+  double demand = demand_;
+  for (const auto& [name, each] : peers_) {
+    demand += each.demand_per_s;
+  }
+  const double beyond_rate =
+      std::max(0.0, demand * kPresumedGrowth - rate_) * kUnheardSeconds;
+  return std::min(part * (Overdraft() + rate_ * kUnheardSeconds), beyond_rate);
+}
+
 bool shared_rate_limiter::Starting(time_point now) const {
   return now - started_ < kStartupPeriod;
 }
--- a/src/interactive/shared_rate.h
+++ b/src/interactive/shared_rate.h
@@ -99,6 +99,7 @@
   void UpdateAbsent(time_point now);
   bool Starting(time_point now) const;
   double Overdraft() const;
+  double Presumed(double part) const;
   double OthersDemand(time_point now) const;
   double Share(time_point now) const;
 
--- a/src/interactive/shared_rate_test.cc
+++ b/src/interactive/shared_rate_test.cc
@@ -45,6 +45,9 @@
     return admitted;
   }
 
+  // Connections between VMs go silent: no report arrives.
+  void StopReports() { next_report_ = now_ + seconds(3'600); }
+
   void ClearHistory() { admission_times_.clear(); }
 
   void SetLimit(double rate, double burst) {
@@ -144,6 +147,20 @@
   }
 }
 
+// Guards against refusals of the usual demand, far below the rate, after all
+// connections between VMs went silent. A fleet must still stay within the bound
+// if demand grows meanwhile.
+TEST(SharedRateLimiterTest, SilentFleetAdmitsTheUsualDemand) {
+  simulated_rate_fleet fleet(9, 100, 100);
+  const std::vector<double> even(9, 1.0);
+  fleet.Run(seconds(12), 50, even);
+  fleet.StopReports();
+  fleet.ClearHistory();
+  EXPECT_GE(fleet.Run(seconds(4), 50, even), 50 * 4 * 0.95);
+  fleet.Run(seconds(10), 600, even);
+  EXPECT_LE(fleet.MaxAdmittedIn(seconds(5)), (100 * 5 + 100) * 1.1 + 20);
+}
+
 TEST(SharedRateLimiterTest, LowerLimitRemovesTokens) {
   const time_point start = TimeFromMs(0);
   shared_rate_limiter rate(100, 100, 1, start, 1);
