--- a/src/interactive/cold_allowance_test.cc
+++ b/src/interactive/cold_allowance_test.cc
@@ -13,7 +13,7 @@
 namespace {
 
 constexpr size_t kHosts = 4;
-const time_point kStart = TimeFromMs(1'000'000);
+constexpr time_point kStart = TimeFromMs(1'000'000);
 
 // The promise to operators.
 double Bound(double rate) {
--- a/src/runtime/line/member_listing_test.cc
+++ b/src/runtime/line/member_listing_test.cc
@@ -30,7 +30,7 @@
   return {{.key = Key(id), .revision = revision}, true};
 }
 
-const time_point kNow = TimeFromMs(1'000'000);
+constexpr time_point kNow = TimeFromMs(1'000'000);
 
 TEST(MemberListingTest, FollowsTheStore) {
   member_listing listing;
