--- a/include/tarragondale/relay.h
+++ b/include/tarragondale/relay.h
@@ -135,7 +135,7 @@
   explicit watch_plan(std::string self) : self_(std::move(self)) {}
 
   /// @param relays The relays among the registered VMs.
-  void SetRelays(std::vector<vm> relays);
+  void SetRelays(const std::vector<vm>& relays);
 
   /// @brief The relays that watch: the first `kWatchers`, in an order that all
   /// VMs compute alike, of those that reach the store and were heard within
--- a/src/relay/watch_plan.cc
+++ b/src/relay/watch_plan.cc
@@ -13,7 +13,7 @@
 // Orders by rendezvous hashing (Thaler and Ravishankar, 1998), VMs with enough
 // capacity first, but takes one relay of each availability zone before a second
 // one of any zone.
-void watch_plan::SetRelays(std::vector<vm> relays) {
+void watch_plan::SetRelays(const std::vector<vm>& relays) {
   std::vector<const vm*> all;
   all.reserve(relays.size());
   for (const vm& each : relays) {
