Return hosted sessions whose primary this VM does not reach

Cause: the host of a session was chosen without regard to what it reaches.

A host that suspects the primary of a statement, and has no replica for it, now ends the session with return_session before the statement takes a token of its rate; the entry VM avoids that host for the group and tries another one, also in other allowed regions. A session that comes back is kept, so a wrong belief costs one hop. Nothing new on the wire.

--- a/include/tarragondale/hosting.h
+++ b/include/tarragondale/hosting.h
@@ -63,6 +63,13 @@
       std::string_view organisation,
       const interactive::placement_rules& rules) const;
 
+  /// @brief Hosts that the VMs of other allowed regions use, for sessions that
+  /// no host of `HostsOf` can serve.
+  std::vector<std::string> HostsElsewhere(
+      std::string_view group,
+      std::string_view organisation,
+      const interactive::placement_rules& rules) const;
+
   /// @brief Region of a registered VM; empty: not known.
   std::string_view RegionOf(std::string_view vm) const;
 
@@ -109,7 +116,8 @@
   duration host_timeout = milliseconds(1'000);
   /// How long a host is avoided after it was lost, after it reported that it
   /// accepts no new sessions, or after `send_attempts` consecutive failed
-  /// sends. If all hosts are avoided, the preferred one is chosen.
+  /// sends; and for a group after it returned a session of the group. If all
+  /// hosts are avoided, the preferred one is chosen.
   duration host_cooldown = seconds(2);
   /// Extra wait after a statement's timeout, so that the host's own timeout
   /// answer can arrive.
@@ -117,6 +125,12 @@
   /// Delay before a message that could not be sent is retried, and before a
   /// session that hosts refused repeatedly is attached again.
   duration send_retry = milliseconds(30);
+  /// A statement that a host returned is sent to another host if not more than
+  /// this fraction of its timeout has passed. Hosts let statements wait for
+  /// `broker_options::queue_timeout_fraction`, which leaves this much.
+  double return_timeout_fraction = 0.25;
+  /// Named in the refusal of a returned statement.
+  duration return_retry = milliseconds(300);
   /// Consecutive failed sends of a session after which the host is avoided.
   int send_attempts = 8;
   /// Unanswered statements per session. A caller that sends more is
@@ -245,6 +259,11 @@
   void OnEnded(time_point now,
                const std::string& vm,
                const wire::hosted_ended& ended);
+  void OnReturned(time_point now, interactive::session_id id, session& of);
+  void Refuse(interactive::session_id id,
+              const session& of,
+              std::string_view statement,
+              std::string reason);
   void OnHostLost(time_point now, interactive::session_id id, session& of);
   void OnDetached(time_point now,
                   interactive::session_id id,
@@ -268,6 +287,8 @@
   std::set<interactive::session_id> active_;  ///< With unanswered statements.
   std::map<std::string, time_point, std::less<>>
       avoided_hosts_;  ///< End of the cooldown, by host.
+  /// End of the cooldown, by host and group, of hosts that returned a session.
+  std::map<std::pair<std::string, std::string>, time_point> avoided_for_group_;
   std::optional<time_point> draining_since_;
   time_point next_sweep_;
   uint64_t moved_by_regions_ = 0;
@@ -286,6 +307,10 @@
   /// session again, on any host, when the next statement arrives.
   static constexpr duration kIdleLimit = seconds(40);
 
+  /// A session that was returned to its entry VM and comes back within this
+  /// time is kept, since the entry VM has found no better host.
+  static constexpr duration kReturnMemory = seconds(2);
+
   /// @param self Name of this VM.
   explicit session_host(std::string self) : self_(std::move(self)) {}
 
@@ -300,6 +325,8 @@
   /// @brief Handles the broker's closing of a session. Returns false if the
   /// session's id is below `kFirstId`.
   bool OnClose(interactive::session_id session);
+  /// @brief Handles the broker's return of a session to its entry VM.
+  void OnReturn(time_point now, interactive::session_id session);
 
   std::vector<interactive::event> OnTick(time_point now);
   /// @brief Sets whether new sessions of other VMs are accepted. The caller
@@ -342,6 +369,7 @@
   std::string self_;
   std::map<key, interactive::session_id> ids_;
   std::unordered_map<interactive::session_id, hosted> sessions_;
+  std::map<key, time_point> returned_;  ///< Within `kReturnMemory`.
   interactive::session_id last_ = kFirstId;
   bool closed_ = true;
   std::vector<send_message> messages_;
--- a/include/tarragondale/interactive.h
+++ b/include/tarragondale/interactive.h
@@ -323,6 +323,8 @@
   /// They bind in addition to those in this VM's, which may be older.
   region_set route_regions = {};
   region_set organisation_regions = {};
+  /// Another VM can host the session, so it may end with `return_session`.
+  bool may_return = false;
 };
 struct caller_sent {
   session_id session = 0;
@@ -468,6 +470,12 @@
 struct close_caller {
   session_id session = 0;
 };
+/// @brief A hosted session has ended since this VM does not reach the primary
+/// that the session needs. Its unanswered statements have not changed data and
+/// will not, so its entry VM may attach it to another host.
+struct return_session {
+  session_id session = 0;
+};
 struct open_link {
   link_id link = 0;
   std::string member;
@@ -500,6 +508,7 @@
 using action = std::variant<accept_caller,
                             answer_caller,
                             close_caller,
+                            return_session,
                             open_link,
                             send_link,
                             close_link,
@@ -564,6 +573,7 @@
   std::map<placement_refusal, uint64_t> placement_refused;
   uint64_t sent_to_cold = 0;  ///< Statements sent to cold members.
   uint64_t cold_refused = 0;  ///< Statements refused for lack of allowance.
+  uint64_t sessions_returned = 0;  ///< To their entry VMs.
   std::map<result_code, uint64_t> failures;
 };
 
--- a/include/tarragondale/wire.h
+++ b/include/tarragondale/wire.h
@@ -457,8 +457,10 @@
   bool known = false;  ///< The sender had the session; `handled` is valid.
   /// Statements after this sequence have not run and will not run.
   uint64_t handled = 0;
-  uint64_t refused = 0;  ///< Sequence of a statement that did not run; 0: none.
-  bool closed = false;   ///< The host currently accepts no sessions.
+  /// Sequence of a statement that did not run; 0: none. If `known`, the sender
+  /// does not reach a member that could run it, and another host may.
+  uint64_t refused = 0;
+  bool closed = false;  ///< The host currently accepts no sessions.
 
   bool operator==(const hosted_ended&) const = default;
 };
--- a/src/hosting/host_plan.cc
+++ b/src/hosting/host_plan.cc
@@ -72,12 +72,18 @@
     std::string_view group,
     std::string_view organisation,
     const interactive::placement_rules& rules) const {
-  if (rules.AllowsMemberIn(region_)) {
-    return HostsIn(region_, group, organisation);
-  }
+  return rules.AllowsMemberIn(region_)
+             ? HostsIn(region_, group, organisation)
+             : HostsElsewhere(group, organisation, rules);
+}
+
+std::vector<std::string> host_plan::HostsElsewhere(
+    std::string_view group,
+    std::string_view organisation,
+    const interactive::placement_rules& rules) const {
   std::vector<std::pair<uint64_t, std::string_view>> ranked;
   for (const auto& [region, names] : capable_) {
-    if (rules.AllowsMemberIn(region)) {
+    if (region != region_ && rules.AllowsMemberIn(region)) {
       ranked.emplace_back(fleet::RendezvousWeight(group, region), region);
     }
   }
--- a/src/hosting/session_host.cc
+++ b/src/hosting/session_host.cc
@@ -75,6 +75,9 @@
     interactive::session_hosted hosted{
         id,           open->database, open->organisation,
         open->values, open->prepared, open->written};
+    const auto returned = returned_.find(entry);
+    hosted.may_return =
+        returned == returned_.end() || now - returned->second > kReturnMemory;
     if (restricted != nullptr) {
       hosted.route_regions = {restricted->route_regions.begin(),
                               restricted->route_regions.end()};
@@ -147,7 +150,22 @@
   return session >= kFirstId;
 }
 
+void session_host::OnReturn(time_point now, session_id session) {
+  const auto found = sessions_.find(session);
+  if (found == sessions_.end()) {
+    return;
+  }
+  const hosted& of = found->second;
+  SendToEntry(of, wire::hosted_ended{IdOf(of), true, of.answered,
+                                     of.answered + 1, closed_});
+  returned_[of.entry] = now;
+  Forget(session);
+}
+
 std::vector<interactive::event> session_host::OnTick(time_point now) {
+  std::erase_if(returned_, [&](const auto& each) {
+    return now - each.second > kReturnMemory;
+  });
   std::vector<session_id> idle;
   for (const auto& [id, of] : sessions_) {
     if (now - of.last_used > kIdleLimit) {
--- a/src/interactive/broker_dispatch.cc
+++ b/src/interactive/broker_dispatch.cc
@@ -60,6 +60,9 @@
     SendStatement(of, *on, std::nullopt);
     return true;
   }
+  if (GiveUpIfOutOfReach(of)) {
+    return false;
+  }
   std::vector<candidate> candidates = Candidates(of);
   if (candidates.empty()) {
     if (!RefuseMisplaced(of)) {
--- a/src/interactive/broker_harness.h
+++ b/src/interactive/broker_harness.h
@@ -165,6 +165,12 @@
   /// @brief Members that refuse new connections.
   std::set<std::string>& unreachable_members() { return unreachable_members_; }
 
+  /// @brief Members at which new connections stay pending.
+  std::set<std::string>& silent_members() { return silent_members_; }
+
+  /// @brief Sessions that were returned to their entry VMs.
+  const std::vector<session_id>& returned() const { return returned_; }
+
   /// @brief Returns and clears the answers that were sent to the session.
   std::vector<answer_caller> TakeAnswers(session_id session) {
     return std::exchange(answers_[session], {});
@@ -229,8 +235,13 @@
     for (action& each : actions) {
       if (auto* answer = std::get_if<answer_caller>(&each)) {
         answers_[answer->session].push_back(*answer);
+      } else if (auto* back = std::get_if<return_session>(&each)) {
+        returned_.push_back(back->session);
       } else if (auto* open = std::get_if<open_link>(&each)) {
         ++opened_;
+        if (silent_members_.contains(open->member)) {
+          continue;
+        }
         if (unreachable_members_.contains(open->member)) {
           Step(link_lost{open->link, false, "down"});
           continue;
@@ -258,6 +269,8 @@
   member_directory members_;
   std::map<link_id, member_link_state> links_;
   std::set<std::string> unreachable_members_;
+  std::set<std::string> silent_members_;
+  std::vector<session_id> returned_;
   std::map<session_id, std::vector<answer_caller>> answers_;
   size_t opened_ = 0;
   int last_query_ = 0;
--- a/src/interactive/broker_implementation.h
+++ b/src/interactive/broker_implementation.h
@@ -151,6 +151,28 @@
   // VM's lease on it has expired.
   bool IsPrimary(const member& of) const;
 
+  // --- Primaries out of reach (broker_reach.cc) ---
+  // Whether connections from this VM to the member probably fail.
+  bool IsSuspect(const member& of) const;
+  // Whether a statement that arrived at `arrived` needs a primary that this VM
+  // does not reach.
+  bool IsOutOfReach(const session& of,
+                    const route& settings,
+                    bool primary_only,
+                    time_point arrived) const;
+  bool HasReachableReplica(const session& of,
+                           const route& settings,
+                           time_point arrived) const;
+  // If the session can be served elsewhere only, ends it with `return_session`
+  // and returns true.
+  bool ReturnIfOutOfReach(session& of,
+                          const route& settings,
+                          bool primary_only,
+                          time_point arrived);
+  // The same for a statement that waits. One whose transaction has begun, but
+  // not yet at a member, is refused instead.
+  bool GiveUpIfOutOfReach(session& of);
+
   // --- Cold members (broker_cold.cc) ---
   // Statements per second that the member may get from all VMs; 0: no limit.
   double ColdRate(const member& of) const;
--- a/src/interactive/broker_statements.cc
+++ b/src/interactive/broker_statements.cc
@@ -195,12 +195,16 @@
     return Refuse(of, statement.id, result_code::kStatementMalformed,
                   "a transaction is already open");
   }
-  if (!TakeRateToken(of, arrived, statement)) {
+  const route settings = *RouteOf(of);
+  const bool read_only = statement.kind == statement_kind::kBeginReadOnly;
+  const bool primary_only = !read_only || settings.reads == freshness::kPrimary;
+  if (ReturnIfOutOfReach(of, settings, primary_only, arrived) ||
+      !TakeRateToken(of, arrived, statement)) {
     return;
   }
   transaction begun;
-  begun.read_only = statement.kind == statement_kind::kBeginReadOnly;
-  begun.settings = *RouteOf(of);
+  begun.read_only = read_only;
+  begun.settings = settings;
   begun.last_used = now_;
   of.open = std::move(begun);
   Answer(of, result_code::kOk, "");
@@ -248,12 +252,14 @@
     return Refuse(of, statement.id, result_code::kReadOnlyViolation,
                   "the transaction is read-only");
   }
-  if (!of.open && !TakeRateToken(of, arrived, statement)) {
-    return;
-  }
   started.primary_only = started.writes ||
                          settings.reads == freshness::kPrimary ||
                          (of.open && !of.open->read_only);
+  if (!of.open &&
+      (ReturnIfOutOfReach(of, settings, started.primary_only, arrived) ||
+       !TakeRateToken(of, arrived, statement))) {
+    return;
+  }
   started.settings = settings;
   started.statement = std::move(statement);
   started.arrived = arrived;
--- a/src/interactive/session.h
+++ b/src/interactive/session.h
@@ -61,7 +61,8 @@
   std::string database;
   std::string key;
   std::string organisation;
-  bool hosted = false;  ///< Its caller is connected to another VM.
+  bool hosted = false;      ///< Its caller is connected to another VM.
+  bool may_return = false;  ///< Its entry VM can attach it to another host.
   /// Allowed regions in the configuration of a hosted session's entry VM.
   region_set entry_route_regions;
   region_set entry_organisation_regions;
--- a/src/runtime/line/hosting_duty.cc
+++ b/src/runtime/line/hosting_duty.cc
@@ -86,6 +86,12 @@
   return taken;
 }
 
+void hosting_duty::ReturnSession(session_id session) {
+  host_.OnReturn(BootNow(), session);
+  budget_.Close(session);
+  Flush();
+}
+
 void hosting_duty::EndHosted(session_id session) {
   if (TakeClose(session)) {
     handlers_.broker(interactive::caller_closed{session});
--- a/src/runtime/line/hosting_duty.h
+++ b/src/runtime/line/hosting_duty.h
@@ -67,6 +67,7 @@
   /// @brief False: the session is of a caller of this VM.
   bool TakeAnswer(const interactive::answer_caller& action);
   bool TakeClose(interactive::session_id session);
+  void ReturnSession(interactive::session_id session);
 
   /// @brief Sessions of this VM's callers that other VMs run.
   size_t forwarded() const { return forwarder_.sessions(); }
--- a/src/runtime/line/line_daemon.cc
+++ b/src/runtime/line/line_daemon.cc
@@ -325,6 +325,9 @@
       callers_.Close(action.session);
     }
   }
+  void Do(const interactive::return_session& action) {
+    hosting_.ReturnSession(action.session);
+  }
   void Do(const interactive::open_link& action) { links_.Open(action); }
   void Do(const interactive::send_link& action) { links_.Send(action); }
   void Do(const interactive::close_link& action) { links_.Close(action.link); }
@@ -460,6 +463,9 @@
     set("tarragondale_cold_refused",
         "Statements refused since a cold member's allowance came too late.",
         metrics.cold_refused);
+    set("tarragondale_sessions_returned",
+        "Hosted sessions returned since this VM does not reach a primary.",
+        metrics.sessions_returned);
     set("tarragondale_sessions_moved_by_regions",
         "Sessions that left their host since the allowed regions changed.",
         hosting_.moved_by_regions());
