Count an operation once, whichever relays a VM follows in turn

What callers saw: refusals as rate_exceeded for seconds, below the rate, after VMs had been cut off and relays changed.

Cause: a VM that returned to a former relay was credited with what another relay had counted meanwhile, on both sides.

FleetExchangeTest .ReturnToAFormerRelayHearsNothingTwice and ...ReportsNothingTwice failed on: 610 operations instead of 0, 53 instead of 13.

Ruled out: the overdraft (43), withheld tokens (none).

--- a/include/tarragondale/interactive.h
+++ b/include/tarragondale/interactive.h
@@ -408,6 +408,11 @@
   std::string vm;
   int counted_vms = 1;
 };
+/// @brief The next report of the VM lacks operations that were not reported by
+/// it before, such as those that another VM has reported meanwhile.
+struct reports_restarted {
+  std::string vm;
+};
 /// @brief Requests a member's status; answered by `member_checked`.
 struct check_member {
   std::string member;
@@ -442,6 +447,7 @@
                            position_reported,
                            usage_reported,
                            vms_heard,
+                           reports_restarted,
                            check_member,
                            demote_member,
                            options_changed,
--- a/include/tarragondale/relay.h
+++ b/include/tarragondale/relay.h
@@ -254,6 +254,12 @@
   /// longer counts these VMs. Their admitted operations remain in the totals.
   void Expire(time_point now);
 
+  /// @brief Whether the next report of the VM adds the operations since an
+  /// earlier one.
+  bool Knows(std::string_view vm) const { return reporters_.contains(vm); }
+  /// @brief Takes the next report of the VM as its first one.
+  void Forget(std::string_view vm);
+
  private:
   struct usage {
     uint64_t reported = 0;    ///< Highest counter from its process.
@@ -277,6 +283,43 @@
       retained_totals_;
 };
 
+/// @brief Makes the reports of a VM to the relay that it follows, so that one
+/// relay counts each of its operations, whichever relays it follows in turn. A
+/// relay counts what a VM reports beyond its earlier reports, the first of
+/// which it takes as the baseline.
+class follower_reports {
+ public:
+  /// @brief Makes the report to `relay`.
+  /// @param sequence Of the digest that carries it; grows for each relay.
+  /// @param own Operations that this VM admitted itself.
+  std::vector<wire::organisation_usage> Report(
+      std::string_view relay,
+      uint64_t sequence,
+      const std::vector<wire::organisation_usage>& own);
+
+  /// @brief The relay has received the digests up to `sequence`.
+  void OnReceived(std::string_view relay, uint64_t sequence);
+
+  /// @brief The relay has received no report, for example since it restarted.
+  void Forget(std::string_view relay);
+
+ private:
+  using counters = std::map<std::string, uint64_t, std::less<>>;
+  struct sent_report {
+    uint64_t sequence = 0;
+    counters own;  ///< Operations that the relay has counted if it received it.
+  };
+
+  std::string relay_;  ///< Followed at present.
+  counters counted_;   ///< Own operations that relays have counted.
+  /// Counters in the last report, by relay.
+  std::map<std::string, counters, std::less<>> sent_;
+  /// Of `counted_` and `sent_` when `relay_` was followed first or again.
+  counters counted_before_;
+  counters sent_before_;
+  std::deque<sent_report> unconfirmed_;  ///< Reports to `relay_`.
+};
+
 }  // namespace tarragondale::relay
 
 #endif  // TARRAGONDALE_RELAY_H_
--- a/src/interactive/broker.cc
+++ b/src/interactive/broker.cc
@@ -304,6 +304,12 @@
   }
 }
 
+void session_broker::implementation::On(const reports_restarted& event) {
+  for (auto& [name, rate] : rates_) {
+    rate.OnRestartedReports(event.vm);
+  }
+}
+
 // --- Members ---
 
 void session_broker::implementation::On(const check_member& event) {
--- a/src/interactive/broker_implementation.h
+++ b/src/interactive/broker_implementation.h
@@ -75,6 +75,7 @@
   void On(const position_reported& event);
   void On(const usage_reported& event);
   void On(const vms_heard& event);
+  void On(const reports_restarted& event);
   void On(const check_member& event);
   void On(const demote_member& event);
   void On(const options_changed& event);
--- a/src/interactive/shared_rate.cc
+++ b/src/interactive/shared_rate.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace tarragondale::interactive {
 namespace {
@@ -171,7 +172,8 @@
                                   time_point now) {
   Advance(now);
   const auto [found, added] = peers_.try_emplace(std::string(vm));
-  if (added && !Starting(now)) {
+  const bool first = std::exchange(found->second.restarted, false) || added;
+  if (first && !Starting(now)) {
     // The first report of a VM lacks what it counted before: what the others
     // may have admitted since the last report of a former relay.
     withheld_ = 0;
@@ -200,6 +202,13 @@
   });
 }
 
+void shared_rate_limiter::OnRestartedReports(std::string_view vm) {
+  const auto found = peers_.find(vm);
+  if (found != peers_.end()) {
+    found->second.restarted = true;
+  }
+}
+
 double shared_rate_limiter::DemandPerSecond(time_point now) const {
   return demand_ *
          std::exp(-Elapsed(demand_updated_, now) / kDemandSpanSeconds);
--- a/src/interactive/shared_rate.h
+++ b/src/interactive/shared_rate.h
@@ -79,6 +79,9 @@
   /// not reported before. VMs list only organisations that have used them.
   void OnHeard(std::string_view vm, int counted_vms, time_point now);
 
+  /// @brief The next report of the VM lacks operations, as its first one does.
+  void OnRestartedReports(std::string_view vm);
+
   /// @brief Operations that this VM has admitted since its start.
   uint64_t admitted() const { return admitted_; }
 
@@ -92,6 +95,7 @@
     double own_demand_per_s = 0;  ///< Of this VM when the report arrived.
     int counted_vms = 1;
     time_point heard;
+    bool restarted = false;  ///< Its next report lacks operations.
   };
 
   void Advance(time_point now);
--- a/src/relay/relay_test.cc
+++ b/src/relay/relay_test.cc
@@ -376,5 +376,81 @@
             3U);
 }
 
+// --- Reports of a follower ---
+
+class FollowerReportsTest : public testing::Test {
+ protected:
+  /// This VM has admitted `admitted` operations and reports to `relay`.
+  void Report(const char* relay, uint64_t admitted, bool arrives = true) {
+    const auto report = reports_.Report(relay, ++sequence_, Usage(admitted));
+    if (arrives) {
+      relays_[relay].Take("f", 1, usage_scope::kOwn, 1, report, kStart);
+      reports_.OnReceived(relay, sequence_);
+    }
+  }
+  uint64_t Counted() const {
+    uint64_t sum = 0;
+    for (const auto& [name, each] : relays_) {
+      for (const auto& usage : each.Report({}, usage_scope::kFollowers, "r")) {
+        sum += usage.admitted;
+      }
+    }
+    return sum;
+  }
+
+  static std::vector<organisation_usage> Usage(uint64_t admitted) {
+    return {{"red", admitted, 1}};
+  }
+
+  follower_reports reports_;
+  std::map<std::string, usage_totals> relays_;
+  uint64_t sequence_ = 0;
+};
+
+// Guards against operations that two relays count, which refuses callers within
+// their rate for seconds.
+TEST_F(FollowerReportsTest, ReturnToAFormerRelayCountsNothingTwice) {
+  Report("x", 0);
+  Report("x", 10);
+  Report("y", 12);  // The baseline.
+  Report("y", 30);
+  EXPECT_EQ(Counted(), 30U);
+  Report("x", 37);
+  EXPECT_EQ(Counted(), 37U);
+  Report("x", 40);
+  Report("y", 45);
+  EXPECT_EQ(Counted(), 45U);
+}
+
+// Guards against operations that nobody counts: a relay that is cut off does
+// not receive the reports to it.
+TEST_F(FollowerReportsTest, NextRelayCountsWhatTheLostOneMissed) {
+  Report("x", 0);
+  Report("x", 10);
+  Report("x", 20, false);
+  Report("y", 25);
+  Report("y", 26);
+  EXPECT_EQ(Counted(), 26U);
+}
+
+TEST_F(FollowerReportsTest, RestartedRelayStartsFromABaseline) {
+  Report("x", 0);
+  Report("x", 10);
+  relays_["x"] = usage_totals();
+  reports_.Forget("x");
+  Report("x", 15);
+  Report("x", 17);
+  EXPECT_EQ(Counted(), 7U);
+}
+
+TEST_F(FollowerReportsTest, NewOrganisationIsCountedFromItsFirstOperation) {
+  Report("x", 0);
+  auto usage = Usage(3);
+  usage.push_back({"blue", 4, 1});
+  relays_["x"].Take("f", 1, usage_scope::kOwn, 1,
+                    reports_.Report("x", ++sequence_, usage), kStart);
+  EXPECT_EQ(Counted(), 7U);
+}
+
 }  // namespace
 }  // namespace tarragondale::relay
--- a/src/relay/usage_totals.cc
+++ b/src/relay/usage_totals.cc
@@ -129,6 +129,14 @@
   }
 }
 
+void usage_totals::Forget(std::string_view vm) {
+  const auto found = reporters_.find(vm);
+  if (found != reporters_.end()) {
+    RetainTotals(found->second);
+    reporters_.erase(found);
+  }
+}
+
 void usage_totals::Expire(time_point now) {
   for (auto next = reporters_.begin(); next != reporters_.end();) {
     reporter& from = next->second;
--- a/src/runtime/line/fleet_duty.cc
+++ b/src/runtime/line/fleet_duty.cc
@@ -334,6 +334,9 @@
   if (!taken) {
     return;
   }
+  if (taken->baseline) {
+    handlers_.broker(interactive::reports_restarted{vm});
+  }
   for (const relay::usage_totals::increment& each : taken->operations) {
     handlers_.broker(interactive::usage_reported{
         each.organisation, static_cast<double>(each.operations),
--- a/src/runtime/line/fleet_exchange.cc
+++ b/src/runtime/line/fleet_exchange.cc
@@ -90,6 +90,11 @@
   if (!plan_.IsRelay()) {
     chosen = choice_.Choose(now, plan_.Preferred(), sights_).value_or("");
   }
+  if (!chosen.empty() && chosen != last_home_) {
+    // Another relay has told of the operations since this one was followed.
+    totals_.Forget(chosen);
+    last_home_ = chosen;
+  }
   return std::exchange(home_, chosen) != home_;
 }
 
@@ -179,6 +184,10 @@
     return;  // The relay that is followed counts this VM's operations.
   }
   digest.scope = ScopeFor(to.to);
+  if (to.to == relation::kHome) {
+    digest.usage = reports_.Report(to.vm, digest.sequence, own);
+    return;
+  }
   totals_.Expire(now);
   digest.counted_vms = totals_.CountedVms(digest.scope, to.vm);
   digest.usage = totals_.Report(own, digest.scope, to.vm);
@@ -217,6 +226,7 @@
     // A new process has received nothing yet.
     from.incarnation = digest.incarnation;
     from.last_received = 0;
+    reports_.Forget(vm);
   }
   if (digest.sequence != 0 && digest.sequence <= from.last_received) {
     return std::nullopt;
@@ -236,8 +246,10 @@
   if (digest.echo != 0 && echoed != from.sent.end()) {
     result.echo_sent = echoed->second;
   }
+  reports_.OnReceived(vm, digest.echo);
   if (CountsUsage(vm, digest)) {
     result.counts_usage = true;
+    result.baseline = !totals_.Knows(vm);
     result.operations = totals_.Take(vm, digest.incarnation, digest.scope,
                                      digest.counted_vms, digest.usage, now);
   }
--- a/src/runtime/line/fleet_exchange.h
+++ b/src/runtime/line/fleet_exchange.h
@@ -97,6 +97,8 @@
     /// Whether the digest tells what other VMs admitted; `operations` lacks
     /// organisations that have not used the VMs that it counts.
     bool counts_usage = false;
+    /// `operations` lacks those since an earlier digest.
+    bool baseline = false;
     bool new_follower = false;
   };
   /// @brief Takes a digest; empty for one that is outdated.
@@ -132,7 +134,9 @@
       relay_zones_;  ///< Availability zones of the relays, by name.
   std::map<std::string, relay::relay_status, std::less<>> sights_;
   relay::usage_totals totals_;
+  relay::follower_reports reports_;
   std::string home_;
+  std::string last_home_;  ///< The last one that is not empty.
   std::map<std::string, peer, std::less<>> peers_;
 };
 
--- a/src/runtime/line/fleet_exchange_test.cc
+++ b/src/runtime/line/fleet_exchange_test.cc
@@ -241,5 +241,82 @@
   EXPECT_FALSE(exchange.Take("vm-2", digest, now)->counts_usage);
 }
 
+// A VM that follows two relays in turn, `first` and `second`.
+class relay_change {
+ public:
+  relay_change() {
+    exchange.SetFleet(Registrations(195));
+    const auto asked = exchange.Targets(now);
+    first = asked[0].vm;
+    second = asked[1].vm;
+  }
+
+  /// The relay tells what all other VMs have admitted.
+  uint64_t Hear(const std::string& relay, uint64_t admitted) {
+    wire::fleet_digest digest = OfRelay(++sequences_[relay]);
+    digest.scope = wire::usage_scope::kFleet;
+    digest.usage = {{"red", admitted, 10}};
+    digest.echo = received_[relay];
+    const auto taken = exchange.Take(relay, digest, now);
+    return taken->operations.empty() ? 0 : taken->operations[0].operations;
+  }
+  /// This VM has admitted `admitted` operations and reports.
+  uint64_t Report(uint64_t admitted) {
+    wire::fleet_digest digest;
+    digest.usage = {{"red", admitted, 1}};
+    exchange.Stamp(exchange.TargetOf(exchange.home(), now), now, digest);
+    received_[exchange.home()] = digest.sequence;
+    return digest.usage.at(0).admitted;
+  }
+  void Follow(const std::string& relay) {
+    now += seconds(5);  // The one that was followed is silent.
+    exchange.ChooseHome(now);
+    Hear(relay, 0);  // Does not count yet.
+    exchange.ChooseHome(now);
+    ASSERT_EQ(exchange.home(), relay);
+  }
+
+  fleet_exchange exchange{"vm-100", {}};
+  time_point now = TimeFromMs(1'000);
+  std::string first;
+  std::string second;
+
+ private:
+  std::map<std::string, uint64_t> sequences_;
+  std::map<std::string, uint64_t> received_;
+};
+
+// Guards against refusing callers within their rate for seconds after relays
+// changed: what one relay has told must not count again when another one, which
+// was followed before, tells it.
+TEST(FleetExchangeTest, ReturnToAFormerRelayHearsNothingTwice) {
+  relay_change test;
+  test.Follow(test.first);
+  test.Hear(test.first, 100);
+  EXPECT_EQ(test.Hear(test.first, 110), 10U);
+  test.Follow(test.second);
+  EXPECT_EQ(test.Hear(test.second, 112), 0U);
+  EXPECT_EQ(test.Hear(test.second, 700), 588U);
+  test.Follow(test.first);
+  EXPECT_EQ(test.Hear(test.first, 720), 0U);
+  EXPECT_EQ(test.Hear(test.first, 725), 5U);
+}
+
+// The same for its own operations, which the relays count.
+TEST(FleetExchangeTest, ReturnToAFormerRelayReportsNothingTwice) {
+  relay_change test;
+  test.Follow(test.first);
+  test.Report(0);
+  EXPECT_EQ(test.Report(10), 10U);
+  test.Hear(test.first, 0);
+  test.Follow(test.second);
+  const uint64_t baseline = test.Report(12);
+  test.Hear(test.second, 0);
+  EXPECT_EQ(test.Report(50) - baseline, 40U);
+  test.Hear(test.second, 0);
+  test.Follow(test.first);
+  EXPECT_EQ(test.Report(53), 13U);
+}
+
 }  // namespace
 }  // namespace tarragondale::runtime
