Let idle sessions leave a lost host, and notice it in time

What callers saw: after one session had found its host lost, the entry VM's other sessions still sent it their next statement: reads waited for a second, writes ended as unknown. With a timeout of 1 s a host counted as lost only when no time was left to run a read elsewhere.

Cause: a session was moved only by its own failures, and the time limit of a host did not depend on the statement.

A session without open transaction and unanswered statements now leaves a host that the entry VM avoids, if another one is better; a host counts as lost after half of the statement's timeout at most. HostingTest .OtherSessionsLeaveALostHost and .ReadWithAShortTimeoutRunsElsewhereInTime failed before. The choice of hosts has a file of its own.

--- a/include/tarragondale/hosting.h
+++ b/include/tarragondale/hosting.h
@@ -114,6 +114,9 @@
   /// A host that has sent nothing for a session for this long, while a sent
   /// statement of the session is unanswered, counts as lost.
   duration host_timeout = milliseconds(1'000);
+  /// It counts as lost after this fraction of the statement's timeout, if that
+  /// is less, so that another host can still run the statement.
+  double host_timeout_fraction = 0.5;
   /// How long a host is avoided after it was lost, after it reported that it
   /// accepts no new sessions, or after `send_attempts` consecutive failed
   /// sends; and for a group after it returned a session of the group. If all
@@ -240,6 +243,11 @@
   wire::hosting_id IdOf(interactive::session_id id, const session& of) const;
   const interactive::route* RouteOf(const session& of) const;
   std::string ChooseHost(time_point now, const session& of);
+  bool IsAvoided(const std::string& host, const std::string& group) const;
+  bool HasReturned(const std::string& host, const std::string& group) const;
+  void LeaveAvoidedHost(time_point now,
+                        interactive::session_id id,
+                        session& of);
   std::optional<std::string> OrganisationOf(const session& of) const;
   void UpdateOrganisation(interactive::session_id id, session& of);
   // Allowed regions of the session's route and organisation.
--- a/src/hosting/forwarder.cc
+++ b/src/hosting/forwarder.cc
@@ -145,46 +145,6 @@
   return &found->second;
 }
 
-std::string forwarder::ChooseHost(time_point now, const session& of) {
-  const interactive::route* const route = RouteOf(of);
-  if (route == nullptr) {
-    return self_;  // This VM's broker reports that the route is gone.
-  }
-  const auto has_ended = [&](const auto& each) { return now >= each.second; };
-  std::erase_if(avoided_hosts_, has_ended);
-  std::erase_if(avoided_for_group_, has_ended);
-  const auto is_avoided = [&](const std::string& host) {
-    return avoided_hosts_.contains(host);
-  };
-  const auto has_returned = [&](const std::string& host) {
-    return avoided_for_group_.contains({host, route->group});
-  };
-  const auto is_suitable = [&](const std::string& host) {
-    return !is_avoided(host) && !has_returned(host);
-  };
-  const auto rules = RulesOf(of);
-  const auto hosts = plan_.HostsOf(route->group, of.organisation, rules);
-  const auto first = std::find_if(hosts.begin(), hosts.end(), is_suitable);
-  if (first != hosts.end()) {
-    return *first;
-  }
-  if (std::any_of(hosts.begin(), hosts.end(), has_returned)) {
-    const auto others =
-        plan_.HostsElsewhere(route->group, of.organisation, rules);
-    const auto other = std::find_if(others.begin(), others.end(), is_suitable);
-    if (other != others.end()) {
-      return *other;
-    }
-  }
-  // Without hosts, this VM runs the session itself. If all hosts are avoided,
-  // the preferred one is tried, since it may have recovered.
-  const auto running = std::find_if_not(hosts.begin(), hosts.end(), is_avoided);
-  if (running != hosts.end()) {
-    return *running;
-  }
-  return hosts.empty() ? self_ : hosts.front();
-}
-
 void forwarder::Attach(time_point now, session_id id, session& of) {
   of.host = ChooseHost(now, of);
   ++of.attach_epoch;
@@ -249,6 +209,7 @@
   session& of = sessions_.at(id);
   UpdateOrganisation(id, of);
   UpdateRegions(id, of);
+  LeaveAvoidedHost(now, id, of);
   while (!of.waiting.empty() && of.host.empty() &&
          of.state != transaction_state::kIdle) {
     if (!AnswerWithoutHost(id, of)) {
@@ -429,44 +390,6 @@
   OnDetached(now, ended.id.session, not_run_from, "the host ended the session");
 }
 
-// Handles a session that its host returned without running its statements,
-// usually since the host does not reach the primary. Another host gets the
-// session if the first statement can still wait there for as long as hosts let
-// statements wait; otherwise the statement is refused.
-void forwarder::OnReturned(time_point now, session_id id, session& of) {
-  const interactive::route* const route = RouteOf(of);
-  if (route != nullptr) {
-    avoided_for_group_[{of.host, route->group}] = now + options_.host_cooldown;
-    const duration limit = std::chrono::duration_cast<duration>(
-        route->statement_timeout * options_.return_timeout_fraction);
-    if (of.state == transaction_state::kIdle &&
-        now - of.waiting.front().arrived > limit) {
-      const std::string statement = of.waiting.front().statement.id;
-      of.waiting.pop_front();
-      Refuse(id, of, statement,
-             fmt::format("it has not run; VM {} does not reach the primary of "
-                         "group {}; retry after {} ms",
-                         of.host, route->group, ToMs(options_.return_retry)));
-    }
-  }
-  OnDetached(now, id, 0, "the host returned the session");
-}
-
-void forwarder::Refuse(session_id id,
-                       const session& of,
-                       std::string_view statement,
-                       std::string reason) {
-  actions_.emplace_back(interactive::log_message{
-      log_level::kInfo,
-      fmt::format("statement {} of session {}, organisation {} refused: {}",
-                  statement, id, of.organisation, reason)});
-  actions_.emplace_back(
-      interactive::answer_caller{.session = id,
-                                 .code = result_code::kDatabaseUnavailable,
-                                 .reason = std::move(reason),
-                                 .kept_bytes = of.kept_bytes});
-}
-
 // Handles a session that its host ended, or whose host stopped answering. Sent
 // statements with a sequence number below `not_run_from` may have run. If one
 // of them is a write, the caller gets an error. Otherwise, a session in a
@@ -599,7 +522,10 @@
     return;
   }
   const time_point last_heard = std::max(of.last_heard, first.sent);
-  if (now - last_heard > options_.host_timeout) {
+  const duration host_timeout = std::min<duration>(
+      options_.host_timeout, std::chrono::duration_cast<duration>(
+                                 limit * options_.host_timeout_fraction));
+  if (now - last_heard > host_timeout) {
     return OnHostLost(now, id, of);
   }
   if (now - last_heard > options_.host_check_delay &&
--- a/src/hosting/hosting_test.cc
+++ b/src/hosting/hosting_test.cc
@@ -141,13 +141,14 @@
   }
   void Send(statement_kind kind,
             const std::string& name = "",
-            const std::string& argument = "") {
+            const std::string& argument = "",
+            interactive::session_id session = 1) {
     caller_statement statement;
     statement.id = fmt::format("s{}", ++last_statement_);
     statement.kind = kind;
     statement.name = name;
     statement.argument = argument;
-    entry_.Send(now_, {1, statement});
+    entry_.Send(now_, {session, statement});
     ProcessActions();
   }
   void Run(duration span) {
@@ -200,6 +201,7 @@
     return found;
   }
   std::map<std::string, vm>& hosts() { return hosts_; }
+  time_point now() const { return now_; }
 
  private:
   void Schedule(std::function<void()> task) {
@@ -362,6 +364,40 @@
   }
 }
 
+// Guards against sending the statements of all other sessions to a host that
+// one of them has found lost: a write there would have an unknown outcome.
+TEST(HostingTest, OtherSessionsLeaveALostHost) {
+  hosted_fleet test;
+  test.Open(1);
+  test.Open(2);
+  test.Send(statement_kind::kRead, "", "", 1);
+  test.Send(statement_kind::kRead, "", "", 2);
+  test.Run(milliseconds(100));
+  test.HostOf().partitioned = true;
+  test.Send(statement_kind::kRead, "", "", 1);
+  test.Run(milliseconds(700));
+  ASSERT_EQ(test.answers.size(), 3U);
+  test.Send(statement_kind::kWrite, "", "", 2);
+  test.Run(milliseconds(50));
+  ASSERT_EQ(test.answers.size(), 4U);
+  EXPECT_EQ(test.answers[3].code, result_code::kOk);
+  EXPECT_EQ(test.answers[3].session, 2U);
+}
+
+// Guards against a host that counts as lost only when no time is left to run
+// the statement elsewhere.
+TEST(HostingTest, ReadWithAShortTimeoutRunsElsewhereInTime) {
+  hosted_fleet test;
+  test.Open();
+  test.Send(statement_kind::kRead);
+  test.Run(milliseconds(100));
+  test.HostOf().partitioned = true;
+  test.Send(statement_kind::kRead);
+  test.Run(interactive::route().statement_timeout * 3 / 4);
+  ASSERT_EQ(test.answers.size(), 2U);
+  EXPECT_EQ(test.answers[1].code, result_code::kOk);
+}
+
 // Guards against a write that runs twice or is reported as not run when its
 // host is lost before it answers.
 TEST(HostingTest, WriteAtALostHostHasAnUnknownOutcome) {
@@ -676,6 +712,64 @@
   EXPECT_EQ(host.sessions(), 1U);
 }
 
+// --- Returned sessions ---
+
+wire::hosted_ended Returned(const hosted_fleet::vm& by) {
+  const interactive::session_id session = by.sessions.begin()->first;
+  session_host host = by.host;
+  host.OnReturn(TimeFromMs(1), session);
+  return std::get<wire::hosted_ended>(host.TakeMessages().at(0).body);
+}
+
+// The host runs nothing of a session that it returns, so another host gets the
+// session's unanswered statements, in their order.
+TEST(HostingTest, ReturnedSessionRunsAtAnotherHost) {
+  hosted_fleet test;
+  test.Open();
+  hosted_fleet::vm& first = test.HostOf();
+  first.paused = true;
+  test.Send(statement_kind::kWrite);
+  test.Send(statement_kind::kWrite);
+  test.Run(milliseconds(20));
+  test.ran.clear();
+  const wire::hosted_ended returned = Returned(first);
+  EXPECT_EQ(returned.handled, 0U);
+  test.entry().OnMessage(test.now(), first.name, returned);
+  test.Run(milliseconds(50));
+  ASSERT_EQ(test.answers.size(), 2U);
+  EXPECT_EQ(test.answers[1].code, result_code::kOk);
+  EXPECT_EQ(test.ran, (std::vector<std::string>{"s1", "s2"}));
+  // The next session of the group does not try the first host.
+  test.Open(2);
+  test.Send(statement_kind::kWrite, "", "", 2);
+  test.Run(milliseconds(50));
+  EXPECT_EQ(test.answers.size(), 3U);
+}
+
+// A host lets a statement wait for most of its timeout, so a statement that is
+// returned late can't wait at another host in full.
+TEST(HostingTest, LateReturnRefusesTheStatement) {
+  hosted_fleet test;
+  test.Open();
+  hosted_fleet::vm& first = test.HostOf();
+  first.paused = true;
+  test.Send(statement_kind::kWrite);
+  test.Run(milliseconds(300));
+  const size_t ran = test.ran.size();
+  test.entry().OnMessage(test.now(), first.name, Returned(first));
+  test.Run(milliseconds(50));
+  ASSERT_EQ(test.answers.size(), 1U);
+  EXPECT_EQ(test.answers[0].code, result_code::kDatabaseUnavailable);
+  EXPECT_EQ(InfoOf(test.answers[0].code).result, outcome::kNotRun);
+  EXPECT_EQ(test.ran.size(), ran);
+  EXPECT_FALSE(test.closed);
+  // The session goes on at another host.
+  test.Send(statement_kind::kRead);
+  test.Run(milliseconds(50));
+  ASSERT_EQ(test.answers.size(), 2U);
+  EXPECT_EQ(test.answers[1].code, result_code::kOk);
+}
+
 // --- Random faults ---
 
 class HostingFaultsTest : public testing::TestWithParam<int> {};
