Compress digests relative to the last confirmed one

Load pattern: the relays tell each other the state of the fleet twice a second; nearly all bytes between regions and much of those between zones were parts of digests that had not changed.

VMs of earlier versions get plain digests.

--- a/include/tarragondale/relay.h
+++ b/include/tarragondale/relay.h
@@ -15,6 +15,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -283,6 +284,73 @@
       retained_totals_;
 };
 
+/// @brief Packs the digests to other VMs, and unpacks theirs. Most of a digest
+/// is the same as in the one before, so it is compressed relative to one that
+/// the receiver has received. Does no I/O.
+///
+/// Invariants: a digest is unpacked exactly as it was packed, or not at all;
+/// the memory for each VM is bounded.
+class digest_packer {
+ public:
+  digest_packer();
+  ~digest_packer();
+  digest_packer(const digest_packer&) = delete;
+  digest_packer& operator=(const digest_packer&) = delete;
+
+  /// @brief Packs a digest to the VM. Empty: the VM is not known to unpack
+  /// digests, so the digest is to be sent as it is.
+  std::optional<wire::packed_digest> Pack(std::string_view vm,
+                                          const wire::fleet_digest& digest,
+                                          time_point now);
+  /// @brief The VM has received the digest `sequence`.
+  void OnReceived(std::string_view vm, uint64_t sequence);
+
+  /// @brief Unpacks a digest of the VM. Empty: there is none, or this VM lacks
+  /// the one that it is relative to.
+  std::optional<wire::fleet_digest> Unpack(std::string_view vm,
+                                           const wire::packed_digest& packed,
+                                           time_point now);
+  /// @brief A process of the VM sent a digest that is not packed.
+  void OnPlain(std::string_view vm, int64_t incarnation, time_point now);
+
+  /// @brief Whether to send the VM an offer now, since it sends digests that
+  /// are not packed, or packed ones that this VM can't unpack.
+  bool TakeOffer(std::string_view vm, time_point now);
+  /// @brief Says that this VM unpacks digests, and has none that the next one
+  /// could be relative to.
+  /// @param incarnation Of this VM's process.
+  static wire::packed_digest Offer(int64_t incarnation);
+
+  /// @brief Drops what is kept for VMs that were not heard for a while.
+  void Expire(time_point now);
+
+ private:
+  struct encoded_digest {
+    uint64_t sequence = 0;
+    std::string bytes;
+  };
+  struct peer {
+    int64_t incarnation = 0;
+    bool unpacks = false;  ///< The process `incarnation` does.
+    bool sends_plain = false;
+    encoded_digest base;                     ///< Received by the VM; 0: none.
+    std::deque<encoded_digest> unconfirmed;  ///< Sent, oldest first.
+    std::deque<encoded_digest> received;     ///< Oldest first.
+    bool lacks_base = false;                 ///< Of the digest received last.
+    std::optional<time_point> offered;
+    time_point used;
+  };
+  struct contexts;
+
+  static void StartAnew(peer& of);
+  std::string Compress(const std::string& bytes, const std::string& prefix);
+  std::optional<std::string> Decompress(const std::string& bytes,
+                                        const std::string& prefix);
+
+  std::unique_ptr<contexts> contexts_;
+  std::map<std::string, peer, std::less<>> peers_;
+};
+
 /// @brief Makes the reports of a VM to the relay that it follows, so that one
 /// relay counts each of its operations, whichever relays it follows in turn. A
 /// relay counts what a VM reports beyond its earlier reports, the first of
--- a/include/tarragondale/wire.h
+++ b/include/tarragondale/wire.h
@@ -480,6 +480,21 @@
   bool operator==(const host_alive&) const = default;
 };
 
+/// @brief A `fleet_digest`, compressed relative to an earlier one. Sent only to
+/// VMs that have sent one of these: a VM of an earlier version doesn't decode
+/// them.
+struct packed_digest {
+  uint64_t sequence = 0;  ///< Of the digest; without one, the incarnation.
+  /// Sequence of the digest that it is relative to, which the receiver has
+  /// received from the same process; 0: none.
+  uint64_t base = 0;
+  /// Encoded and compressed (zstd). Empty: an offer; the sender can unpack
+  /// digests, and has none that the next one could be relative to.
+  std::string bytes;
+
+  bool operator==(const packed_digest&) const = default;
+};
+
 /// @brief All message bodies. The index in the variant is the type number on
 /// the wire, so new types are appended.
 using message_body = std::variant<execute_request,
@@ -501,7 +516,8 @@
                                   hosted_ended,
                                   host_check,
                                   host_alive,
-                                  restricted_open>;
+                                  restricted_open,
+                                  packed_digest>;
 
 struct message {
   std::string sender;  ///< Name of the VM that sent it.
--- a/src/runtime/line/fleet_duty.cc
+++ b/src/runtime/line/fleet_duty.cc
@@ -91,6 +91,7 @@
   }
   if (now >= next_maintain_) {
     next_maintain_ = now + kMaintainInterval;
+    packer_.Expire(now);
     transport_.Maintain(std::chrono::steady_clock::now(), kLinkSilence,
                         kLinkIdle);
   }
@@ -312,7 +313,16 @@
   peer_wake_pending_ = false;
   while (auto message = peer_messages_.TryPop()) {
     if (const auto* digest = std::get_if<wire::fleet_digest>(&message->body)) {
+      packer_.OnPlain(message->sender, digest->incarnation, BootNow());
       OnDigest(message->sender, *digest);
+      OfferPacking(message->sender);
+    } else if (const auto* packed =
+                   std::get_if<wire::packed_digest>(&message->body)) {
+      const auto unpacked = packer_.Unpack(message->sender, *packed, BootNow());
+      if (unpacked) {
+        OnDigest(message->sender, *unpacked);
+      }
+      OfferPacking(message->sender);
     } else if (const auto* request =
                    std::get_if<wire::store_request>(&message->body)) {
       if (copy_.revision() > request->revision) {
@@ -330,6 +340,7 @@
 void fleet_duty::OnDigest(const std::string& vm,
                           const wire::fleet_digest& digest) {
   const time_point now = BootNow();
+  packer_.OnReceived(vm, digest.echo);
   const auto taken = exchange_.Take(vm, digest, now);
   if (!taken) {
     return;
@@ -404,7 +415,18 @@
   exchange_.Stamp(to, now, digest);
   digest.stop_notices =
       keeper_.StopNotices(now, to.to == fleet_exchange::relation::kFollower);
-  transport_.Send(to.vm, to.address, std::move(digest));
+  auto packed = packer_.Pack(to.vm, digest, now);
+  if (packed) {
+    transport_.Send(to.vm, to.address, std::move(*packed));
+  } else {
+    transport_.Send(to.vm, to.address, std::move(digest));
+  }
+}
+
+void fleet_duty::OfferPacking(const std::string& vm) {
+  if (packer_.TakeOffer(vm, BootNow())) {
+    SendTo(vm, relay::digest_packer::Offer(keeper_.incarnation()));
+  }
 }
 
 wire::fleet_digest fleet_duty::BuildDigest(time_point now) const {
--- a/src/runtime/line/fleet_duty.h
+++ b/src/runtime/line/fleet_duty.h
@@ -97,6 +97,8 @@
   void SendDigest(const fleet_exchange::target& to,
                   time_point now,
                   wire::fleet_digest digest);
+  // Tells the VM that this one unpacks digests, if it does not know yet.
+  void OfferPacking(const std::string& vm);
   wire::fleet_digest BuildDigest(time_point now) const;
   void AddPrimaries(time_point now, wire::fleet_digest& digest) const;
 
@@ -110,6 +112,7 @@
   store_view view_;
   relay::store_copy copy_;
   fleet_exchange exchange_;
+  relay::digest_packer packer_;
   peer_transport transport_;
   ring<wire::message> peer_messages_;
   std::atomic<bool> peer_wake_pending_{false};
--- a/src/wire/fields.h
+++ b/src/wire/fields.h
@@ -333,6 +333,13 @@
   static constexpr auto kTable = FieldTable(&host_alive::id);
 };
 
+template <>
+struct fields<packed_digest> {
+  static constexpr auto kTable = FieldTable(&packed_digest::sequence,
+                                            &packed_digest::base,
+                                            &packed_digest::bytes);
+};
+
 /// @brief Highest valid value of the enum `E` in a message.
 template <typename E>
 inline constexpr int kLastEnumerator = 0;
--- a/src/wire/names.cc
+++ b/src/wire/names.cc
@@ -19,7 +19,7 @@
     "fleet_digest"sv,    "store_request"sv,    "store_changes"sv,
     "hosted_open"sv,     "hosted_statement"sv, "hosted_close"sv,
     "hosted_answer"sv,   "hosted_ended"sv,     "host_check"sv,
-    "host_alive"sv,      "restricted_open"sv};
+    "host_alive"sv,      "restricted_open"sv,  "packed_digest"sv};
 static_assert(kMessageTypes.size() == std::variant_size_v<message_body>);
 
 template <typename E, size_t N>
--- a/src/wire/wire_test.cc
+++ b/src/wire/wire_test.cc
@@ -116,7 +116,8 @@
       {"vm-1", host_alive{{7, 8, 9}}},
       {"vm-1", restricted_open{{{7, 8, 9}, "orders", "north", {}, {}, {3, 12}},
                                {"east"},
-                               {"east", "west"}}}};
+                               {"east", "west"}}},
+      {"vm-1", packed_digest{7, 5, "zstd"}}};
 }
 
 // Guards against a field table that lacks a member, and against a type number
