--- a/include/tarragondale/relay.h
+++ b/include/tarragondale/relay.h
@@ -338,7 +338,7 @@
     std::deque<encoded_digest> received;     ///< Oldest first.
     bool lacks_base = false;                 ///< Of the digest received last.
     std::optional<time_point> offered;
-    time_point used;
+    time_point heard;
   };
   struct contexts;
 
@@ -368,8 +368,11 @@
   /// @brief The relay has received the digests up to `sequence`.
   void OnReceived(std::string_view relay, uint64_t sequence);
 
-  /// @brief The relay has received no report, for example since it restarted.
-  void Forget(std::string_view relay);
+  /// @brief This VM relays itself, and other relays count its operations.
+  void OnCounted(const std::vector<wire::organisation_usage>& own);
+
+  /// @brief A new process of the relay has received no report.
+  void OnRestart(std::string_view relay);
 
  private:
   using counters = std::map<std::string, uint64_t, std::less<>>;
@@ -379,6 +382,10 @@
   };
 
   std::string relay_;  ///< Followed at present.
+  /// It has not received the baseline yet. Until then, the baseline is
+  /// repeated.
+  bool baseline_ = false;
+  std::set<std::string, std::less<>> needs_baseline_;
   counters counted_;   ///< Own operations that relays have counted.
   /// Counters in the last report, by relay.
   std::map<std::string, counters, std::less<>> sent_;
--- a/src/relay/digest_packer.cc
+++ b/src/relay/digest_packer.cc
@@ -18,6 +18,11 @@
 constexpr duration kOfferInterval = seconds(10);
 constexpr duration kRenewedOfferInterval = milliseconds(500);
 constexpr duration kPeerLifetime = seconds(60);
+// A VM that is not heard for this long may have restarted without knowing where
+// to send an offer; it learns this from digests that are not packed.
+constexpr duration kHeardLimit = seconds(2);
+// Of an unpacked digest, four times that of 1,000 groups and organisations.
+constexpr size_t kMaxDigestBytes = size_t{1} << 20;
 
 std::string EncodeDigest(const wire::fleet_digest& digest) {
   return wire::Encode({"", digest});
@@ -80,7 +85,7 @@
     const std::string& prefix) {
   const auto size = ZSTD_getFrameContentSize(bytes.data(), bytes.size());
   if (size == ZSTD_CONTENTSIZE_ERROR || size == ZSTD_CONTENTSIZE_UNKNOWN ||
-      size > wire::kMaxMessageBytes) {
+      size > kMaxDigestBytes) {
     return std::nullopt;
   }
   ZSTD_DCtx* const context = contexts_->decompression;
@@ -100,12 +105,15 @@
     const wire::fleet_digest& digest,
     time_point now) {
   const auto found = peers_.find(vm);
-  if (found == peers_.end() || !found->second.unpacks) {
+  if (found == peers_.end() || !found->second.unpacks ||
+      now - found->second.heard > kHeardLimit) {
     return std::nullopt;
   }
   peer& to = found->second;
-  to.used = now;
   encoded_digest encoded{digest.sequence, EncodeDigest(digest)};
+  if (encoded.bytes.size() > kMaxDigestBytes) {
+    return std::nullopt;
+  }
   wire::packed_digest packed{digest.sequence, to.base.sequence,
                              Compress(encoded.bytes, to.base.bytes)};
   if (packed.bytes.empty()) {
@@ -138,7 +146,7 @@
     const wire::packed_digest& packed,
     time_point now) {
   peer& from = peers_[std::string(vm)];
-  from.used = now;
+  from.heard = now;
   if (packed.bytes.empty()) {
     StartAnew(from);
     from.unpacks = true;
@@ -179,7 +187,7 @@
                             int64_t incarnation,
                             time_point now) {
   peer& from = peers_[std::string(vm)];
-  from.used = now;
+  from.heard = now;
   from.sends_plain = true;
   from.lacks_base = false;
   if (incarnation != from.incarnation) {
@@ -217,7 +225,7 @@
 
 void digest_packer::Expire(time_point now) {
   std::erase_if(peers_, [&](const auto& each) {
-    return now - each.second.used > kPeerLifetime;
+    return now - each.second.heard > kPeerLifetime;
   });
 }
 
--- a/src/relay/follower_reports.cc
+++ b/src/relay/follower_reports.cc
@@ -25,6 +25,7 @@
   counters& sent = known->second;
   if (relay != relay_) {
     relay_ = relay;
+    baseline_ = added || needs_baseline_.erase(std::string(relay)) != 0;
     unconfirmed_.clear();
     counted_before_ = counted_;
     sent_before_ = added ? counted_ : sent;
@@ -33,12 +34,13 @@
   sent_report snapshot{sequence, {}};
   for (wire::organisation_usage& each : report) {
     const uint64_t counted = ValueOf(counted_before_, each.organisation);
-    // The baseline leaves out what no relay has counted, which the next report
-    // then adds.
-    const uint64_t reported = added ? counted : each.admitted;
+    // The baseline leaves out what no relay has counted, which the reports
+    // after it add.
+    const uint64_t reported =
+        baseline_ ? counted : std::max(counted, each.admitted);
     snapshot.own[each.organisation] = reported;
-    each.admitted = ValueOf(sent_before_, each.organisation) +
-                    std::max(reported, counted) - counted;
+    each.admitted =
+        ValueOf(sent_before_, each.organisation) + reported - counted;
     sent[each.organisation] = each.admitted;
   }
   unconfirmed_.push_back(std::move(snapshot));
@@ -53,6 +55,7 @@
     return;
   }
   while (!unconfirmed_.empty() && unconfirmed_.front().sequence <= sequence) {
+    baseline_ = false;
     for (const auto& [organisation, value] : unconfirmed_.front().own) {
       uint64_t& counted = counted_[organisation];
       counted = std::max(counted, value);
@@ -61,10 +64,17 @@
   }
 }
 
-void follower_reports::Forget(std::string_view relay) {
-  const auto found = sent_.find(relay);
-  if (found != sent_.end()) {
-    sent_.erase(found);
+void follower_reports::OnCounted(
+    const std::vector<wire::organisation_usage>& own) {
+  for (const wire::organisation_usage& each : own) {
+    uint64_t& counted = counted_[each.organisation];
+    counted = std::max(counted, each.admitted);
+  }
+}
+
+void follower_reports::OnRestart(std::string_view relay) {
+  if (sent_.contains(relay)) {
+    needs_baseline_.emplace(relay);
   }
   if (relay == relay_) {
     relay_.clear();
--- a/src/runtime/line/fleet_duty.cc
+++ b/src/runtime/line/fleet_duty.cc
@@ -207,11 +207,12 @@
 }
 
 void fleet_duty::CheckOtherRelay(time_point now) {
-  if (exchange_.home().empty() || now < next_check_) {
+  // Before the first load, the answer would be a second copy of all keys.
+  if (exchange_.home().empty() || copy_.revision() == 0 || now < next_check_) {
     return;
   }
   next_check_ = now + kOtherRelayInterval;
-  const std::string other = exchange_.OtherRelay();
+  const std::string other = exchange_.NextOtherRelay();
   if (!other.empty()) {
     SendTo(other, wire::store_request{copy_.revision()});
   }
@@ -318,6 +319,9 @@
       OfferPacking(message->sender);
     } else if (const auto* packed =
                    std::get_if<wire::packed_digest>(&message->body)) {
+      if (exchange_.AddressOf(message->sender).empty()) {
+        continue;  // Nothing is kept for senders that are not known.
+      }
       const auto unpacked = packer_.Unpack(message->sender, *packed, BootNow());
       if (unpacked) {
         OnDigest(message->sender, *unpacked);
--- a/src/runtime/line/fleet_exchange.cc
+++ b/src/runtime/line/fleet_exchange.cc
@@ -73,16 +73,18 @@
   return watch_plan_.FedBySelf(watch_plan_.Watchers(now, sights_));
 }
 
-std::string fleet_exchange::OtherRelay() const {
+std::string fleet_exchange::NextOtherRelay() {
   const auto home = relay_zones_.find(home_);
+  std::vector<std::string> others;
   for (const std::string& name : plan_.Preferred()) {
     const auto found = relay_zones_.find(name);
     if (home != relay_zones_.end() && found != relay_zones_.end() &&
         found->second != home->second) {
-      return name;
+      others.push_back(name);
     }
   }
-  return {};
+  return others.empty() ? std::string()
+                        : others[other_relay_++ % others.size()];
 }
 
 bool fleet_exchange::ChooseHome(time_point now) {
@@ -173,7 +175,7 @@
     return;  // A seed, whose name is not known yet.
   }
   peer& receiver = found->second;
-  digest.sequence = ++receiver.last_sent;
+  digest.sequence = ++last_sequence_;
   digest.echo = receiver.last_received;
   digest.follows = to.to == relation::kHome;
   receiver.sent.emplace_back(digest.sequence, now);
@@ -188,6 +190,9 @@
     digest.usage = reports_.Report(to.vm, digest.sequence, own);
     return;
   }
+  if (to.to == relation::kPeer) {
+    reports_.OnCounted(own);
+  }
   totals_.Expire(now);
   digest.counted_vms = totals_.CountedVms(digest.scope, to.vm);
   digest.usage = totals_.Report(own, digest.scope, to.vm);
@@ -218,6 +223,8 @@
     return !each.second.registered && each.first != vm &&
            now - each.second.heard > kUnregisteredLifetime;
   });
+  std::erase_if(sights_,
+                [&](const auto& each) { return !peers_.contains(each.first); });
   peer& from = peers_[vm];
   if (digest.incarnation < from.incarnation) {
     return std::nullopt;
@@ -226,7 +233,7 @@
     // A new process has received nothing yet.
     from.incarnation = digest.incarnation;
     from.last_received = 0;
-    reports_.Forget(vm);
+    reports_.OnRestart(vm);
   }
   if (digest.sequence != 0 && digest.sequence <= from.last_received) {
     return std::nullopt;
--- a/src/runtime/line/fleet_exchange.h
+++ b/src/runtime/line/fleet_exchange.h
@@ -59,10 +59,10 @@
   /// @brief Relays that do not watch the store and get its changes from this
   /// VM.
   std::vector<std::string> FedRelays(time_point now) const;
-  /// @brief A relay of another availability zone, which a VM that follows a
-  /// relay asks for changes too: its own one, if slow, may be behind. Empty if
-  /// there is none.
-  std::string OtherRelay() const;
+  /// @brief A relay of another availability zone, each in turn, which a VM that
+  /// follows a relay asks for changes too: its own one, if slow, may be behind.
+  /// Empty if there is none.
+  std::string NextOtherRelay();
 
   /// @brief Says in a digest whether other VMs may follow this one. A VM that
   /// is no relay does not offer itself, also while it watches the store because
@@ -116,7 +116,6 @@
     int64_t incarnation = 0;
     time_point heard;
     bool follows = false;
-    uint64_t last_sent = 0;
     uint64_t last_received = 0;
     std::deque<std::pair<uint64_t, time_point>> sent;  ///< Newest last.
   };
@@ -135,8 +134,11 @@
   std::map<std::string, relay::relay_status, std::less<>> sights_;
   relay::usage_totals totals_;
   relay::follower_reports reports_;
+  /// Of all digests, since a VM that was forgotten remembers what it received.
+  uint64_t last_sequence_ = 0;
   std::string home_;
   std::string last_home_;  ///< The last one that is not empty.
+  size_t other_relay_ = 0;
   std::map<std::string, peer, std::less<>> peers_;
 };
 
