--- a/include/tarragondale/hosting.h
+++ b/include/tarragondale/hosting.h
@@ -115,8 +115,11 @@
   /// statement of the session is unanswered, counts as lost.
   duration host_timeout = milliseconds(1'000);
   /// It counts as lost after this fraction of the statement's timeout, if that
-  /// is less, so that another host can still run the statement.
+  /// is less, so that another host can still run the statement. The check is
+  /// sent after half of that time at the latest.
   double host_timeout_fraction = 0.5;
+  /// Least time for the answer to a `host_check`.
+  duration host_check_answer = milliseconds(100);
   /// How long a host is avoided after it was lost, after it reported that it
   /// accepts no new sessions, or after `send_attempts` consecutive failed
   /// sends; and for a group after it returned a session of the group. If all
@@ -224,6 +227,8 @@
         interactive::transaction_state::kIdle;
     std::string host;  ///< Empty: not attached to a host.
     std::string host_region;
+    /// The host is one of `host_plan::HostsElsewhere`.
+    bool elsewhere = false;
     /// Allowed regions that were in force when the session was attached.
     interactive::region_set route_regions;
     interactive::region_set organisation_regions;
@@ -242,7 +247,11 @@
 
   wire::hosting_id IdOf(interactive::session_id id, const session& of) const;
   const interactive::route* RouteOf(const session& of) const;
-  std::string ChooseHost(time_point now, const session& of);
+  struct choice {
+    std::string host;
+    bool elsewhere = false;  ///< Of another region.
+  };
+  choice ChooseHost(time_point now, const session& of);
   bool IsAvoided(const std::string& host, const std::string& group) const;
   bool HasReturned(const std::string& host, const std::string& group) const;
   void LeaveAvoidedHost(time_point now,
@@ -315,8 +324,8 @@
   /// session again, on any host, when the next statement arrives.
   static constexpr duration kIdleLimit = seconds(40);
 
-  /// A session that was returned to its entry VM and comes back within this
-  /// time is kept, since the entry VM has found no better host.
+  /// A session that was returned to its entry VM and comes back is kept until
+  /// this time has passed, since the entry VM has found no better host.
   static constexpr duration kReturnMemory = seconds(2);
 
   /// @param self Name of this VM.
--- a/include/tarragondale/interactive.h
+++ b/include/tarragondale/interactive.h
@@ -323,8 +323,9 @@
   /// They bind in addition to those in this VM's, which may be older.
   region_set route_regions = {};
   region_set organisation_regions = {};
-  /// Another VM can host the session, so it may end with `return_session`.
-  bool may_return = false;
+  /// Another VM can host the session, so it may end with `return_session`,
+  /// after this time.
+  duration may_return_after{0};
 };
 struct caller_sent {
   session_id session = 0;
--- a/src/hosting/forwarder.cc
+++ b/src/hosting/forwarder.cc
@@ -146,7 +146,9 @@
 }
 
 void forwarder::Attach(time_point now, session_id id, session& of) {
-  of.host = ChooseHost(now, of);
+  choice chosen = ChooseHost(now, of);
+  of.host = std::move(chosen.host);
+  of.elsewhere = chosen.elsewhere;
   ++of.attach_epoch;
   ++of.attachments;
   of.last_sequence = 0;
@@ -525,11 +527,14 @@
   const duration host_timeout = std::min<duration>(
       options_.host_timeout, std::chrono::duration_cast<duration>(
                                  limit * options_.host_timeout_fraction));
-  if (now - last_heard > host_timeout) {
+  const bool checked = of.last_checked > last_heard &&
+                       now - of.last_checked > options_.host_check_answer;
+  if (checked && now - last_heard > host_timeout) {
     return OnHostLost(now, id, of);
   }
-  if (now - last_heard > options_.host_check_delay &&
-      now - of.last_checked > options_.host_check_delay) {
+  const duration check_delay =
+      std::min<duration>(options_.host_check_delay, host_timeout / 2);
+  if (now - std::max(last_heard, of.last_checked) > check_delay) {
     of.last_checked = now;
     actions_.emplace_back(
         send_message{of.host, wire::host_check{IdOf(id, of)}});
--- a/src/hosting/forwarder_hosts.cc
+++ b/src/hosting/forwarder_hosts.cc
@@ -22,10 +22,10 @@
   return avoided_for_group_.contains({host, group});
 }
 
-std::string forwarder::ChooseHost(time_point now, const session& of) {
+forwarder::choice forwarder::ChooseHost(time_point now, const session& of) {
   const interactive::route* const route = RouteOf(of);
   if (route == nullptr) {
-    return self_;  // This VM's broker reports that the route is gone.
+    return {self_};  // This VM's broker reports that the route is gone.
   }
   const std::string& group = route->group;
   const auto has_ended = [&](const auto& each) { return now >= each.second; };
@@ -38,7 +38,7 @@
   const auto hosts = plan_.HostsOf(group, of.organisation, rules);
   const auto first = std::find_if_not(hosts.begin(), hosts.end(), is_avoided);
   if (first != hosts.end()) {
-    return *first;
+    return {*first};
   }
   const bool out_of_reach = std::any_of(
       hosts.begin(), hosts.end(),
@@ -48,7 +48,7 @@
     const auto other =
         std::find_if_not(others.begin(), others.end(), is_avoided);
     if (other != others.end()) {
-      return *other;
+      return {*other, true};
     }
   }
   // Without hosts, this VM runs the session itself. If all hosts are avoided,
@@ -57,25 +57,30 @@
       hosts.begin(), hosts.end(),
       [&](const std::string& host) { return !avoided_hosts_.contains(host); });
   if (running != hosts.end()) {
-    return *running;
+    return {*running};
   }
-  return hosts.empty() ? self_ : hosts.front();
+  return {hosts.empty() ? self_ : hosts.front()};
 }
 
-// Detaches an idle session from a host that is avoided by now, unless no other
-// is better. A statement that is sent to a lost host has an unknown outcome.
+// Detaches an idle session from a host that is avoided by now, or that belongs
+// to another region, if a better one is not avoided. A statement that is sent
+// to a lost host has an unknown outcome.
 void forwarder::LeaveAvoidedHost(time_point now, session_id id, session& of) {
   const interactive::route* const route = RouteOf(of);
   const bool idle = of.state == transaction_state::kIdle &&
                     !of.waiting.empty() && of.waiting.front().sequence == 0;
   if (of.host.empty() || route == nullptr || !idle ||
-      !IsAvoided(of.host, route->group) || ChooseHost(now, of) == of.host) {
+      !(of.elsewhere || IsAvoided(of.host, route->group))) {
+    return;
+  }
+  const choice better = ChooseHost(now, of);
+  if (better.host == of.host || IsAvoided(better.host, route->group) ||
+      (better.elsewhere && !IsAvoided(of.host, route->group))) {
     return;
   }
   actions_.emplace_back(interactive::log_message{
-      log_level::kInfo,
-      fmt::format("session {} detached from VM {}, which is avoided", id,
-                  of.host)});
+      log_level::kInfo, fmt::format("session {} leaves VM {} for VM {}", id,
+                                    of.host, better.host)});
   Detach(id, of);
 }
 
--- a/src/hosting/hosting_test.cc
+++ b/src/hosting/hosting_test.cc
@@ -102,7 +102,8 @@
 // One entry VM, `vm-0`, and hosts with simulated brokers. Messages take 5 ms.
 class hosted_fleet {
  public:
-  explicit hosted_fleet(int64_t incarnation = 1)
+  explicit hosted_fleet(int64_t incarnation = 1,
+                        milliseconds statement_timeout = milliseconds(1'000))
       : entry_("vm-0", incarnation, {}) {
     fleet_ = Fleet(40, 0);
     entry_.SetFleet(fleet_);
@@ -113,6 +114,7 @@
     route.name = "orders";
     route.database = "db";
     route.group = "g";
+    route.statement_timeout = statement_timeout;
     configuration_snapshot->organisations_by_key["key"] = "red";
     catalogue_ = configuration_snapshot;
     entry_.SetCatalogue(catalogue_);
@@ -567,6 +569,41 @@
   EXPECT_TRUE(std::get<wire::hosted_ended>(messages[0].body).closed);
 }
 
+// A session that comes back after a return stays for a while, whichever VM
+// holds the primary out of reach: no host is better.
+TEST(HostingTest, ReturnedSessionThatComesBackMayNotReturnAtOnce) {
+  session_host host("vm-1");
+  host.SetOpen(true);
+  const time_point now = TimeFromMs(1'000);
+  const auto open = [&](uint64_t attach_epoch, time_point at) {
+    wire::hosted_open message = OpenMessage();
+    message.id.attach_epoch = attach_epoch;
+    const auto events = host.OnMessage(at, "vm-0", message);
+    return std::get<interactive::session_hosted>(events.back());
+  };
+  const interactive::session_hosted first = open(1, now);
+  EXPECT_EQ(first.may_return_after, duration(0));
+  host.OnReturn(now, first.session);
+  EXPECT_EQ(host.sessions(), 0U);
+  const interactive::session_hosted again = open(2, now + milliseconds(500));
+  EXPECT_EQ(again.may_return_after,
+            session_host::kReturnMemory - milliseconds(500));
+  EXPECT_EQ(open(3, now + seconds(3)).may_return_after, duration(0));
+}
+
+// Guards against a healthy host that counts as lost because a statement with a
+// short timeout waits there.
+TEST(HostingTest, HostIsCheckedBeforeItCountsAsLost) {
+  hosted_fleet test(1, milliseconds(300));
+  test.Open();
+  test.Send(statement_kind::kRead);
+  test.Run(milliseconds(50));
+  test.HostOf().paused = true;
+  test.Send(statement_kind::kRead);
+  test.Run(milliseconds(260));
+  EXPECT_EQ(test.attachments, 1);
+}
+
 TEST(HostingTest, LateLinkOnlyDelaysTheStatement) {
   hosted_fleet test;
   test.Open();
--- a/src/hosting/reach_test.cc
+++ b/src/hosting/reach_test.cc
@@ -18,10 +18,8 @@
 
 using interactive::freshness;
 using interactive::link_id;
-using interactive::member_code;
 using interactive::session_id;
 using interactive::statement_kind;
-using interactive::transaction_state;
 
 constexpr duration kMessageDelay = milliseconds(2);
 constexpr duration kMemberDelay = milliseconds(10);
@@ -218,7 +216,9 @@
                         to.sessions.OnMessage(now_, "vm-0", body)) {
                      if (auto* opened =
                              std::get_if<interactive::session_hosted>(&event)) {
-                       opened->may_return = opened->may_return && returns_;
+                       if (!returns_) {
+                         opened->may_return_after = seconds(1'000);
+                       }
                      }
                      Step(to, event);
                    }
--- a/src/hosting/session_host.cc
+++ b/src/hosting/session_host.cc
@@ -76,8 +76,11 @@
         id,           open->database, open->organisation,
         open->values, open->prepared, open->written};
     const auto returned = returned_.find(entry);
-    hosted.may_return =
-        returned == returned_.end() || now - returned->second > kReturnMemory;
+    if (returned != returned_.end()) {
+      hosted.may_return_after = std::max<duration>(
+          duration(0), std::chrono::duration_cast<duration>(
+                           returned->second + kReturnMemory - now));
+    }
     if (restricted != nullptr) {
       hosted.route_regions = {restricted->route_regions.begin(),
                               restricted->route_regions.end()};
--- a/src/interactive/broker.cc
+++ b/src/interactive/broker.cc
@@ -186,7 +186,7 @@
   hosted.written = event.written;
   hosted.entry_route_regions = event.route_regions;
   hosted.entry_organisation_regions = event.organisation_regions;
-  hosted.may_return = event.may_return;
+  hosted.may_return_at = now_ + event.may_return_after;
 }
 
 void session_broker::implementation::On(const caller_sent& event) {
--- a/src/interactive/broker_implementation.h
+++ b/src/interactive/broker_implementation.h
@@ -155,6 +155,7 @@
   // --- Primaries out of reach (broker_reach.cc) ---
   // Whether connections from this VM to the member probably fail.
   bool IsSuspect(const member& of) const;
+  bool MayReturn(const session& of) const;
   // Whether a statement that arrived at `arrived` needs a primary that this VM
   // does not reach.
   bool IsOutOfReach(const session& of,
--- a/src/interactive/broker_links.cc
+++ b/src/interactive/broker_links.cc
@@ -462,7 +462,9 @@
     if (const member* const primary = pool_.Find(former)) {
       const std::set<link_id> all = primary->links;
       for (const link_id id : all) {
-        if (pool_.FindLink(id)->busy()) {
+        // Statements that follow a failed one may have closed other links.
+        const link* const on = pool_.PeekLink(id);
+        if (on != nullptr && on->busy()) {
           FailLink(id, "the primary is being replaced");
         }
       }
--- a/src/interactive/broker_reach.cc
+++ b/src/interactive/broker_reach.cc
@@ -23,6 +23,10 @@
   return failing || unanswered;
 }
 
+bool session_broker::implementation::MayReturn(const session& of) const {
+  return of.hosted && now_ >= of.may_return_at;
+}
+
 bool session_broker::implementation::IsOutOfReach(const session& of,
                                                   const route& settings,
                                                   bool primary_only,
@@ -65,7 +69,7 @@
                                                         const route& settings,
                                                         bool primary_only,
                                                         time_point arrived) {
-  if (!of.may_return || !IsOutOfReach(of, settings, primary_only, arrived)) {
+  if (!MayReturn(of) || !IsOutOfReach(of, settings, primary_only, arrived)) {
     return false;
   }
   ++metrics_.sessions_returned;
@@ -81,7 +85,7 @@
 
 bool session_broker::implementation::GiveUpIfOutOfReach(session& of) {
   const active_statement& waiting = *of.current;
-  if (!of.may_return) {
+  if (!MayReturn(of)) {
     return false;
   }
   if (!of.open) {
--- a/src/interactive/reach_test.cc
+++ b/src/interactive/reach_test.cc
@@ -7,20 +7,20 @@
 namespace tarragondale::interactive {
 namespace {
 
-const duration kUntilSuspect =
+const duration until_suspect =
     broker_options().unresponsive_check_delay + milliseconds(20);
 
 void Host(broker_harness& test,
           session_id session,
           const std::string& database,
-          bool may_return = true) {
+          duration may_return_after = duration(0)) {
   session_hosted hosted{.session = session,
                         .database = database,
                         .organisation = "red",
                         .values = {},
                         .prepared = {},
                         .written = {}};
-  hosted.may_return = may_return;
+  hosted.may_return_after = may_return_after;
   test.Step(hosted);
 }
 
@@ -31,7 +31,7 @@
     test_.silent_members().insert("p");
     Host(test_, 1, "strict");
     test_.Send(1, statement_kind::kWrite, "w1");
-    test_.AdvanceTime(kUntilSuspect);
+    test_.AdvanceTime(until_suspect);
   }
 
   broker_harness test_;
@@ -60,12 +60,16 @@
 
 TEST_F(ReachTest, SessionThatCameBackWaits) {
   CutPrimary();
-  Host(test_, 2, "strict", false);
+  Host(test_, 2, "strict", seconds(2));
   test_.Send(2, statement_kind::kWrite, "w2");
   test_.AdvanceTime(milliseconds(100));
   EXPECT_EQ(test_.returned(), std::vector<session_id>{1});
   test_.AdvanceTime(seconds(1));
   EXPECT_EQ(test_.LastAnswer(2).code, result_code::kDeadlineBeforeStart);
+  // It stays attached, but another cut may be of this VM only.
+  test_.AdvanceTime(seconds(1));
+  test_.Send(2, statement_kind::kWrite, "w3");
+  EXPECT_EQ(test_.returned(), (std::vector<session_id>{1, 2}));
 }
 
 TEST_F(ReachTest, OwnCallersSessionsStay) {
--- a/src/interactive/session.h
+++ b/src/interactive/session.h
@@ -62,7 +62,8 @@
   std::string key;
   std::string organisation;
   bool hosted = false;      ///< Its caller is connected to another VM.
-  bool may_return = false;  ///< Its entry VM can attach it to another host.
+  /// From then on it may return to its entry VM; only if `hosted`.
+  time_point may_return_at;
   /// Allowed regions in the configuration of a hosted session's entry VM.
   region_set entry_route_regions;
   region_set entry_organisation_regions;
--- a/src/runtime/line/hosting_duty_test.cc
+++ b/src/runtime/line/hosting_duty_test.cc
@@ -240,6 +240,16 @@
   EXPECT_EQ(duty_.hosted(), kSessions - ended_);
 }
 
+TEST_F(HostBudgetTest, ReturnedSessionHoldsNothing) {
+  OpenSession(1, kMiB);
+  SendStatement(1, kMiB);
+  EXPECT_GT(budget_.total(), 2 * kMiB);
+  duty_.ReturnSession(hosting::session_host::kFirstId + 1);
+  EXPECT_EQ(budget_.total(), 0U);
+  EXPECT_EQ(told_, 1U);
+  EXPECT_EQ(duty_.hosted(), 0U);
+}
+
 TEST_F(HostBudgetTest, SmallSessionsOutliveALargeOne) {
   OpenSession(1, 100);
   OpenSession(2, 8 * kMiB);
