Count a paused caller's socket buffer only if input has arrived in it

Cause: reading pauses above half of the budget, and a paused session was charged a full socket buffer, although a caller that waits for its answer sends nothing.

InputBudgetTest.CallersThatWaitForAnAnswerHoldNoBuffer; the crowds of client_limits_test and their bounds are unchanged.

--- a/src/runtime/line/caller_server.cc
+++ b/src/runtime/line/caller_server.cc
@@ -175,7 +175,7 @@
     return;
   }
   of.paused = pause;
-  budget_.SetPaused(session, pause);
+  budget_.SetPaused(session, pause, of.connection->HasArrivedInput());
   if (pause) {
     of.connection->Pause();
   } else {
@@ -325,6 +325,12 @@
       silent.push_back(session);
     }
   }
+  for (const auto& [session, each] : callers_) {
+    if (each.paused) {
+      budget_.SetPaused(session, true, each.connection->HasArrivedInput());
+    }
+  }
+  Relieve();
   for (const interactive::session_id session : silent) {
     callers_.at(session).connection->Close();
     OnClosed(session);
--- a/src/runtime/line/connection.h
+++ b/src/runtime/line/connection.h
@@ -56,6 +56,12 @@
   void Pause() { paused_ = true; }
   void Resume();
 
+  /// @brief Whether input has arrived that was not read.
+  bool HasArrivedInput() const {
+    boost::system::error_code error;
+    return socket_.available(error) > 0;
+  }
+
   /// @brief Called once when the socket is closed, in whatever way.
   void OnClose(std::function<void()> hook) { close_hook_ = std::move(hook); }
 
--- a/src/runtime/line/input_budget.cc
+++ b/src/runtime/line/input_budget.cc
@@ -24,7 +24,7 @@
 
 size_t input_budget::holder::bytes() const {
   return unread + waiting * kStatementCopies + kept * kKeptCopies + unsent +
-         (paused ? kPausedBytes : 0) + (unsent > 0 ? kUnsentBytes : 0);
+         (arrived ? kPausedBytes : 0) + (unsent > 0 ? kUnsentBytes : 0);
 }
 
 std::string_view input_budget::LimitName(limit value) {
@@ -118,10 +118,11 @@
          total_ <= limits_.total_bytes / 2;
 }
 
-void input_budget::SetPaused(session_id session, bool paused) {
+void input_budget::SetPaused(session_id session, bool paused, bool arrived) {
   Update(session, [&](holder& of) {
     pauses_ += paused && !of.paused ? 1 : 0;
     of.paused = paused;
+    of.arrived = paused && arrived;
   });
 }
 
--- a/src/runtime/line/input_budget.h
+++ b/src/runtime/line/input_budget.h
@@ -80,8 +80,10 @@
 
   /// @brief Whether the session's next statement may be taken.
   bool MayRead(session_id session) const;
-  /// @brief Records that the session is not read, for its socket's buffer.
-  void SetPaused(session_id session, bool paused);
+  /// @brief Records that the session is not read.
+  /// @param arrived Input has arrived in the socket's buffer, which is then
+  /// counted whole. A caller that waits for its answer sends none.
+  void SetPaused(session_id session, bool paused, bool arrived);
 
   bool exceeded() const { return total_ > limits_.total_bytes; }
   /// @brief The session that holds most, if more than `total_bytes` are held.
@@ -104,6 +106,7 @@
     size_t kept = 0;
     size_t unsent = 0;
     bool paused = false;
+    bool arrived = false;            ///< While it is paused.
     std::vector<size_t> statements;  ///< Bytes of each, the oldest first.
     time_point line_since;           ///< If `unread` is not 0.
     time_point unsent_since;         ///< If `unsent` is not 0.
--- a/src/runtime/line/input_budget_test.cc
+++ b/src/runtime/line/input_budget_test.cc
@@ -32,7 +32,7 @@
   budget_.AddStatement(1, 20);
   budget_.SetKept(1, 30);
   budget_.SetUnsent(now_, 1, 40, false);
-  budget_.SetPaused(1, true);
+  budget_.SetPaused(1, true, true);
   EXPECT_GT(budget_.total(), 100U);
   budget_.Close(1);
   EXPECT_EQ(budget_.total(), 0U);
@@ -107,7 +107,7 @@
 // Guards against callers that are disconnected since this VM did not read them.
 TEST_F(InputBudgetTest, LineOfAPausedCallerIsNotOverdue) {
   budget_.SetUnread(now_, 1, 10, false);
-  budget_.SetPaused(1, true);
+  budget_.SetPaused(1, true, true);
   EXPECT_EQ(budget_.Overdue(now_ + seconds(60)), overdue{});
   EXPECT_EQ(budget_.pauses(), 1U);
 }
@@ -129,5 +129,24 @@
   EXPECT_EQ(budget_.Overdue(now_ + seconds(31)), overdue{});
 }
 
+// Guards against ending callers that wait for one answer each, because reading
+// pauses when much is held, instead of those that hold it.
+TEST_F(InputBudgetTest, CallersThatWaitForAnAnswerHoldNoBuffer) {
+  budget_.SetLimits({.total_bytes = 10'000'000});
+  constexpr size_t kHolders = 100;
+  constexpr size_t kWaiting = 1'000;
+  for (size_t i = 0; i < kHolders; ++i) {
+    budget_.Open(i);
+    budget_.SetKept(i, 30'000);
+  }
+  for (size_t i = kHolders; i < kHolders + kWaiting; ++i) {
+    budget_.Open(i);
+    budget_.AddStatement(i, 100);
+    ASSERT_FALSE(budget_.MayRead(i));
+    budget_.SetPaused(i, true, false);
+  }
+  EXPECT_FALSE(budget_.exceeded());
+}
+
 }  // namespace
 }  // namespace tarragondale::runtime
