--- a/src/wire/wire_test.cc
+++ b/src/wire/wire_test.cc
@@ -185,8 +185,6 @@
   EXPECT_FALSE(Decode(std::string(64, '\x91')));
 }
 
-// Guards against equal digests of two different requests, which would let them
-// share an idempotency key.
 // Largest virtual size so far, in KiB.
 int64_t PeakKb() {
   std::ifstream status("/proc/self/status");
@@ -218,6 +216,7 @@
       at, 1,
       std::string("\xdd\x00\x10\x00\x00", 5) + std::string(kElements, '\x01'));
   const int64_t before = PeakKb();
+  ASSERT_GT(before, 0);
   EXPECT_EQ(Decode(bytes).error().code, result_code::kMessageMalformed);
   EXPECT_LT(PeakKb() - before, kForgedKb);
 }
@@ -231,10 +230,13 @@
     bytes += std::string("\xdd\x00\x10\x00\x00", 5);
   }
   const int64_t before = PeakKb();
+  ASSERT_GT(before, 0);
   EXPECT_EQ(Decode(bytes).error().code, result_code::kMessageMalformed);
   EXPECT_LT(PeakKb() - before, kForgedKb);
 }
 
+// Guards against equal digests of two different requests, which would let them
+// share an idempotency key.
 TEST(WireTest, DigestDependsOnKindTextAndParameters) {
   const std::vector<statement> a = {{"UPDATE t SET n = $1", {"1"}}};
   const std::vector<statement> b = {{"UPDATE t SET n = $1", {"2"}}};
