--- a/src/relay/digest_packer.cc
+++ b/src/relay/digest_packer.cc
@@ -21,7 +21,8 @@
 // A VM that is not heard for this long may have restarted without knowing where
 // to send an offer; it learns this from digests that are not packed.
 constexpr duration kHeardLimit = seconds(2);
-// Of an unpacked digest, four times that of 1,000 groups and organisations.
+// A larger digest is sent as it is, so that a small message does not unpack to
+// many megabytes.
 constexpr size_t kMaxDigestBytes = size_t{1} << 20;
 
 std::string EncodeDigest(const wire::fleet_digest& digest) {
