--- a/include/tarragondale/relay.h
+++ b/include/tarragondale/relay.h
@@ -386,7 +386,7 @@
   /// repeated.
   bool baseline_ = false;
   std::set<std::string, std::less<>> needs_baseline_;
-  counters counted_;   ///< Own operations that relays have counted.
+  counters counted_;  ///< Own operations that relays have counted.
   /// Counters in the last report, by relay.
   std::map<std::string, counters, std::less<>> sent_;
   /// Of `counted_` and `sent_` when `relay_` was followed first or again.
