--- a/src/interactive/session.h
+++ b/src/interactive/session.h
@@ -61,7 +61,7 @@
   std::string database;
   std::string key;
   std::string organisation;
-  bool hosted = false;      ///< Its caller is connected to another VM.
+  bool hosted = false;  ///< Its caller is connected to another VM.
   /// From then on it may return to its entry VM; only if `hosted`.
   time_point may_return_at;
   /// Allowed regions in the configuration of a hosted session's entry VM.
