--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -8,7 +8,7 @@
   g++ -std=c++20 -O1 -Wall -Wextra -I. -c "review/standin-2/$1.cc" -o "$out/$1.o"
 }
 common=(lines record service store group fleet play)
-cases=(crowd_main slow_reader_main long_transaction_main stray_entry_main
+cases=(crowd_main slow_reader_main slow_platform_main stray_entry_main
   lost_primary_main)
 for unit in "${common[@]}" "${cases[@]}"; do
   compile "$unit" &
--- a/review/standin-2/crowd_main.cc
+++ b/review/standin-2/crowd_main.cc
@@ -1,4 +1,4 @@
-// Case 6: a crowd of clients starts sessions on an anonymous route, each with a
+// Case 8: a crowd of clients starts sessions on an anonymous route, each with a
 // START line of legal size. A VM that exceeds its memory is killed and started
 // again, as the platform does.
 #include <algorithm>
--- a/review/standin-2/fleet.cc
+++ b/review/standin-2/fleet.cc
@@ -25,6 +25,12 @@
   return zones;
 }
 
+std::vector<std::pair<std::string, std::string>> Places() {
+  return {{kPrimary, Zones()[0]},
+          {kFirstReplica, Zones()[1]},
+          {kSecondReplica, Zones()[2]}};
+}
+
 std::string RegionOf(const std::string& zone) {
   return zone == "mobay-a" ? "mobay" : "kingston";
 }
@@ -167,8 +173,12 @@
 
 deployment::deployment(const std::string& folder, record& log, work_time work)
     : log_(log),
-      group_(kService, Zones(), store_, log, std::move(work)),
+      group_(kService, Places(), store_, log, std::move(work)),
       promotions_([this](const std::string&, const std::string& member) {
+        const milliseconds delay(next_promotion_delay_.exchange(0));
+        log_.Add("promotion of " + member + " received, carried out " +
+                 std::to_string(delay.count()) + " ms later");
+        Pause(delay);
         group_.Promote(member);
       }) {
   for (const std::string& zone : Zones()) {
--- a/review/standin-2/fleet.h
+++ b/review/standin-2/fleet.h
@@ -5,6 +5,7 @@
 
 #include <sys/types.h>
 
+#include <atomic>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -75,6 +76,11 @@
   /// @brief As `Launch`, and waits until each VM has served a write and a read.
   /// False if one did not.
   bool Start();
+  /// @brief The platform is slow: it receives the next promotion and carries it
+  /// out so much later.
+  void DelayNextPromotion(milliseconds delay) {
+    next_promotion_delay_ = delay.count();
+  }
   /// @brief Ends the VMs. The stand-ins run until this process ends, so a
   /// deployment must be static.
   void Stop() { vms_.clear(); }
@@ -85,10 +91,16 @@
   record& log_;
   store store_;
   group group_;
+  std::atomic<int64_t> next_promotion_delay_{0};
   promotions promotions_;
   std::vector<std::unique_ptr<vm>> vms_;
 };
 
+// The members.
+inline constexpr const char* kPrimary = "i-7f3a91c2";
+inline constexpr const char* kFirstReplica = "i-1c40d2be";
+inline constexpr const char* kSecondReplica = "i-5a6be07d";
+
 // Databases of the configuration: a `primary` route, a `bounded_staleness` one
 // and an anonymous one.
 inline constexpr const char* kService = "orders-db";
--- a/review/standin-2/group.cc
+++ b/review/standin-2/group.cc
@@ -29,19 +29,26 @@
 
   const std::string& id() const { return id_; }
 
+  // What the group's mutex guards.
+  bool primary = false;
+  bool draining = false;
+  int64_t term = 1;
+  int64_t number = 10;
+  std::map<std::string, std::string> data;
+
+  std::string Position() const {
+    return std::to_string(term) + "." + std::to_string(number);
+  }
+
+  // With the group's mutex.
   void Register() {
-    bool primary = false;
-    {
-      const std::lock_guard lock(of_.mutex_);
-      primary = of_.primary_ == id_;
-    }
     of_.registry_.Put("servers/" + id_,
                       {{"service", of_.name_},
                        {"address", address()},
                        {"zone", zone_},
                        {"version", "v1"},
                        {"slots", kSlots},
-                       {"state", "ready"},
+                       {"state", draining ? "draining" : "ready"},
                        {"coldLeftMs", 0},
                        {"dbRole", primary ? "primary" : "replica"},
                        {"sequence", ++sequence_},
@@ -68,7 +75,7 @@
     Pause(kHandshake);
     {
       const std::lock_guard lock(of_.mutex_);
-      if (!socket.Send("READY I " + of_.Position() + "\r\n")) {
+      if (!socket.Send("READY I " + Position() + "\r\n")) {
         return;
       }
     }
@@ -81,7 +88,7 @@
       {
         const std::lock_guard lock(of_.mutex_);
         answer += std::string("READY ") + (state.open ? "T " : "I ") +
-                  of_.Position() + "\r\n";
+                  Position() + "\r\n";
       }
       if (!socket.Send(answer)) {
         return;
@@ -97,10 +104,13 @@
     }
     if (verb == "STATUS" || verb == "DEMOTE") {
       const std::lock_guard lock(of_.mutex_);
-      return "ROW " +
-             std::string(of_.primary_ == id_ ? "primary " : "replica ") +
-             std::to_string(of_.term_) + " " + of_.Position() +
-             " 0 0 0 1\r\nDONE -\r\n";
+      const member* const leader = of_.Leader();
+      if (verb == "DEMOTE" && primary && leader != this &&
+          term < std::stoll(text)) {
+        of_.Follow(*this, *leader);
+      }
+      return std::string("ROW ") + (primary ? "primary " : "replica ") +
+             std::to_string(term) + " " + Position() + " 0 0 0 1\r\nDONE -\r\n";
     }
     if (verb == "EXECUTE") {
       const auto found = state.prepared.find(TakeWord(text));
@@ -114,7 +124,7 @@
     }
     if (verb == "BEGIN") {
       const std::lock_guard lock(of_.mutex_);
-      if (text != "READ" && of_.primary_ != id_) {
+      if (text != "READ" && !primary) {
         return "ERR READONLY " + id_ + "\r\n";
       }
       state.open = true;
@@ -141,12 +151,12 @@
     of_.ran_[id] = id_;
     const std::string done = "DONE sig-" + id_ + "-" + id + "\r\n";
     if (verb == "READ") {
-      const auto found = of_.data_.find(TakeWord(text));
-      return "ROW " + (found == of_.data_.end() ? "-" : found->second) +
-             "\r\n" + done;
+      const auto found = data.find(TakeWord(text));
+      return "ROW " + (found == data.end() ? "-" : found->second) + "\r\n" +
+             done;
     }
     if (verb == "WRITE") {
-      if (of_.primary_ != id_) {
+      if (!primary) {
         return "ERR READONLY " + id_ + "\r\n";
       }
       const std::string item = TakeWord(text);
@@ -155,7 +165,11 @@
         return done;
       }
     }
-    of_.Commit(state.pending);
+    if (!state.pending.empty() && !primary) {
+      state = {false, {}, std::move(state.prepared)};
+      return "ERR READONLY " + id_ + "\r\n";
+    }
+    of_.Commit(*this, id, state.pending);
     state = {false, {}, std::move(state.prepared)};
     return done;
   }
@@ -167,7 +181,7 @@
 };
 
 group::group(std::string name,
-             const std::vector<std::string>& zones,
+             const std::vector<std::pair<std::string, std::string>>& places,
              store& registry,
              record& log,
              work_time work)
@@ -175,23 +189,26 @@
       registry_(registry),
       log_(log),
       work_(std::move(work)) {
-  for (const std::string& zone : zones) {
-    members_.push_back(
-        std::make_unique<member>(*this, "i-" + name_ + "-" + zone, zone));
+  for (const auto& [id, zone] : places) {
+    members_.push_back(std::make_unique<member>(*this, id, zone));
   }
-  primary_ = members_.front()->id();
+  members_.front()->primary = true;
 }
 
 group::~group() = default;
 
 void group::Start() {
-  for (const auto& each : members_) {
-    each->Start();
-    each->Register();
+  {
+    const std::lock_guard lock(mutex_);
+    for (const auto& each : members_) {
+      each->Start();
+      each->Register();
+    }
   }
   std::thread([this] {
     while (true) {
       Pause(kHeartbeat);
+      const std::lock_guard lock(mutex_);
       for (const auto& each : members_) {
         each->Register();
       }
@@ -205,16 +222,65 @@
 
 void group::Load(const std::string& item, const std::string& data) {
   const std::lock_guard lock(mutex_);
-  data_[item] = data;
+  for (const auto& each : members_) {
+    each->data[item] = data;
+  }
+}
+
+void group::AddReplica(const std::string& id, const std::string& zone) {
+  const std::lock_guard lock(mutex_);
+  members_.push_back(std::make_unique<member>(*this, id, zone));
+  member& added = *members_.back();
+  Follow(added, *Leader());
+  added.Start();
+  added.Register();
+  log_.Add("member " + id + " starts as a replica");
+}
+
+void group::Drain(const std::string& id) {
+  const std::lock_guard lock(mutex_);
+  Find(id)->draining = true;
+  Find(id)->Register();
+  log_.Add("member " + id + " reports draining");
 }
 
 void group::Promote(const std::string& id) {
-  log_.Add("promotion of " + id);
   const std::lock_guard lock(mutex_);
-  if (primary_ != id) {
-    primary_ = id;
-    ++term_;
+  log_.Add("promotion of " + id + " is carried out");
+  if (Leader() == Find(id)) {
+    return;
+  }
+  std::thread([this, id] {
+    Pause(kPromotionTime);
+    Lead(id);
+  }).detach();
+}
+
+void group::Lead(const std::string& id) {
+  const std::lock_guard lock(mutex_);
+  member& chosen = *Find(id);
+  const member* const before = Leader();
+  if (before == &chosen) {
+    return;
+  }
+  chosen.term = (before == nullptr ? chosen.term : before->term) + 1;
+  chosen.primary = true;
+  chosen.Register();
+  log_.Add("member " + id + " leads term " + std::to_string(chosen.term));
+  for (const auto& each : members_) {
+    if (!each->primary) {
+      Follow(*each, chosen);
+    }
   }
+  std::thread([this, &chosen] {
+    Pause(kFormerPrimaryTime);
+    const std::lock_guard later(mutex_);
+    for (const auto& each : members_) {
+      if (each.get() != &chosen && each->primary && each->term < chosen.term) {
+        Follow(*each, chosen);
+      }
+    }
+  }).detach();
 }
 
 bool group::HasRun(const std::string& id) {
@@ -222,19 +288,72 @@
   return ran_.contains(id);
 }
 
-void group::Commit(
-    const std::vector<std::pair<std::string, std::string>>& writes) {
+bool group::WasCommittedLate(const std::string& id) {
+  const std::lock_guard lock(mutex_);
+  return late_.contains(id);
+}
+
+std::string group::DataAtLeader(const std::string& item) {
+  const std::lock_guard lock(mutex_);
+  const member& leader = *Leader();
+  const auto found = leader.data.find(item);
+  return found == leader.data.end() ? "" : found->second;
+}
+
+// A replica receives a commit at once if it follows the member's term.
+void group::Commit(member& at,
+                   const std::string& id,
+                   const std::vector<item_write>& writes) {
   if (writes.empty()) {
     return;
   }
-  ++number_;
+  ++at.number;
   for (const auto& [item, data] : writes) {
-    data_[item] = data;
+    at.data[item] = data;
+  }
+  log_.Add("commit " + id + " at " + at.id() + ", position " + at.Position());
+  if (Leader() != &at) {
+    late_.insert(id);
+    log_.Add("member " + Leader()->id() + " leads term " +
+             std::to_string(Leader()->term) + " by then");
+  }
+  for (const auto& each : members_) {
+    if (!each->primary && each->term == at.term) {
+      each->number = at.number;
+      for (const auto& [item, data] : writes) {
+        each->data[item] = data;
+      }
+    }
   }
 }
 
-std::string group::Position() const {
-  return std::to_string(term_) + "." + std::to_string(number_);
+// The member takes the leader's log; what it had beyond is rolled back.
+void group::Follow(member& former, const member& leader) {
+  former.primary = false;
+  former.term = leader.term;
+  former.number = leader.number;
+  former.data = leader.data;
+  former.Register();
+}
+
+// The primary of the highest term; null if there is none.
+group::member* group::Leader() {
+  member* leader = nullptr;
+  for (const auto& each : members_) {
+    if (each->primary && (leader == nullptr || each->term > leader->term)) {
+      leader = each.get();
+    }
+  }
+  return leader;
+}
+
+group::member* group::Find(const std::string& id) {
+  for (const auto& each : members_) {
+    if (each->id() == id) {
+      return each.get();
+    }
+  }
+  return nullptr;
 }
 
 }  // namespace tarragondale::review
